--- a/src/libs/platform/depends.cmake
+++ b/src/libs/platform/depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS marigold_base)
+set(DEPENDS marigold_base marigold_net fmt)
--- a/src/libs/platform/platform.h
+++ b/src/libs/platform/platform.h
@@ -3,6 +3,9 @@
 /// \file
 /// Public header of the platform library: ports to the systems outside, and their adapters over HTTP.
 
+#include "http_kv_store.h"
+#include "http_model_engine.h"
+#include "http_vm_list.h"
 #include "kv_store.h"
 #include "model_engine.h"
 #include "vm_list.h"
