Add the settings library and its generated reference

Both daemons need settings with types, units and ranges, and an operator needs to know which line of which file holds a fault.

Settings objects own their defaults and register their members on a settings_reader. A fault names file, line, column and the nearest known key; a refused load changes no member. Process, cluster, key-value and TLS settings are common to both daemons. docs/settings.md is generated from the registered keys, and a test compares it.

--- /dev/null
+++ b/src/libs/settings/setting.cpp
@@ -0,0 +1,297 @@
+#include "setting.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <type_traits>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace marigold::settings {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> typeNames { "integer", "number", "text", "boolean", "duration",
+    "list of text" };
+
+template <typename T> constexpr setting_type typeOfMember()
+{
+    if constexpr (std::is_same_v<T, bool>)
+        return setting_type::Boolean;
+    else if constexpr (std::is_same_v<T, double>)
+        return setting_type::Number;
+    else if constexpr (std::is_integral_v<T>)
+        return setting_type::Integer;
+    else if constexpr (std::is_same_v<T, std::string>)
+        return setting_type::Text;
+    else if constexpr (std::is_same_v<T, std::vector<std::string>>)
+        return setting_type::TextList;
+    else
+        return setting_type::Duration;
+}
+
+/// Narrows the range to what the member can hold.
+template <typename T> void boundByMember(setting_options& options)
+{
+    if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>) {
+        const auto lowest = static_cast<double>(std::numeric_limits<T>::min());
+        const auto highest = static_cast<double>(std::numeric_limits<T>::max());
+        // Values travel as 64-bit signed integers, so that only narrower members need a bound.
+        constexpr bool isNarrow = sizeof(T) < sizeof(std::int64_t);
+        if (isNarrow || std::is_unsigned_v<T>)
+            options.minimum = std::max(options.minimum.value_or(lowest), lowest);
+        if (isNarrow)
+            options.maximum = std::min(options.maximum.value_or(highest), highest);
+    }
+    if constexpr (typeOfMember<T>() == setting_type::Duration) {
+        // A year keeps the conversion to microseconds far from overflow.
+        constexpr double longest = 365.0 * 24 * 3600 * 1000;
+        options.minimum = options.minimum.value_or(0);
+        options.maximum = std::min(options.maximum.value_or(longest), longest);
+        options.unit = "ms";
+    }
+}
+
+template <typename T> base::result<T> parseNumber(std::string_view text, std::string_view wanted)
+{
+    T value {};
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (fault != std::errc() || end != text.data() + text.size())
+        return base::notRun(
+            base::error_reason::InvalidRequest, fmt::format("\"{}\" is not {}", text, wanted));
+    return value;
+}
+
+std::vector<std::string> splitList(std::string_view text)
+{
+    std::vector<std::string> entries;
+    while (!text.empty()) {
+        const std::size_t comma = text.find(',');
+        std::string_view entry = text.substr(0, comma);
+        while (entry.starts_with(' '))
+            entry.remove_prefix(1);
+        while (entry.ends_with(' '))
+            entry.remove_suffix(1);
+        entries.emplace_back(entry);
+        if (comma == std::string_view::npos)
+            break;
+        text.remove_prefix(comma + 1);
+    }
+    return entries;
+}
+
+std::string_view typeNameOf(const setting_value& value)
+{
+    constexpr std::array<std::string_view, 5> names { "integer", "number", "boolean", "text",
+        "list of text" };
+    return names[value.index()];
+}
+
+} // namespace
+
+std::string_view nameOf(setting_type type)
+{
+    return typeNames[static_cast<std::size_t>(type)];
+}
+
+std::string renderValue(const setting_value& value)
+{
+    return std::visit(
+        [](const auto& held) -> std::string {
+            using held_type = std::decay_t<decltype(held)>;
+            if constexpr (std::is_same_v<held_type, std::string>)
+                return fmt::format("\"{}\"", held);
+            else if constexpr (std::is_same_v<held_type, std::vector<std::string>>)
+                return held.empty() ? "[]" : fmt::format("[\"{}\"]", fmt::join(held, "\", \""));
+            else
+                return fmt::format("{}", held);
+        },
+        value);
+}
+
+setting::setting(std::string name, setting_target target, setting_options options)
+    : m_name(std::move(name))
+    , m_target(target)
+    , m_options(std::move(options))
+    , m_type(std::visit(
+          [this](auto* member) {
+              using member_type = std::remove_pointer_t<decltype(member)>;
+              boundByMember<member_type>(m_options);
+              return typeOfMember<member_type>();
+          },
+          target))
+    , m_default(read())
+{
+}
+
+setting::setting(std::string name, setting_choice choice, setting_options options)
+    : m_name(std::move(name))
+    , m_target(static_cast<std::string*>(nullptr))
+    , m_choice(std::move(choice))
+    , m_options(std::move(options))
+    , m_type(setting_type::Text)
+    , m_default(read())
+{
+}
+
+std::string setting::variable() const
+{
+    std::string variable = "MARIGOLD_";
+    for (const char c : m_name)
+        variable += c == '.' ? '_' : static_cast<char>(c >= 'a' && c <= 'z' ? c - 'a' + 'A' : c);
+    return variable;
+}
+
+std::string setting::range() const
+{
+    constexpr std::array<std::string_view, 6> formats { "", "name", "IP number", "IP:PORT",
+        "http(s)://IP:PORT", "ID:SECRET" };
+    if (!m_choice.names.empty())
+        return fmt::format("{}", fmt::join(m_choice.names, ", "));
+    std::string text(formats[static_cast<std::size_t>(m_options.format)]);
+    const auto add = [&text](std::string_view part) {
+        text += text.empty() ? "" : ", ";
+        text += part;
+    };
+    const std::string_view subject = m_type == setting_type::Text ? " bytes"
+        : m_type == setting_type::TextList                        ? " entries"
+                                                                  : "";
+    if (m_options.minimum && m_options.maximum)
+        add(fmt::format("{:.15g} to {:.15g}{}", *m_options.minimum, *m_options.maximum, subject));
+    else if (m_options.minimum)
+        add(fmt::format("from {:.15g}{}", *m_options.minimum, subject));
+    else if (m_options.maximum)
+        add(fmt::format("to {:.15g}{}", *m_options.maximum, subject));
+    if (m_options.required)
+        add("required");
+    return text;
+}
+
+tl::unexpected<base::error> setting::fault(std::string message) const
+{
+    return base::notRun(base::error_reason::InvalidRequest, std::move(message), m_name);
+}
+
+base::result<setting_value> setting::parse(std::string_view text) const
+{
+    const auto checked = [this](auto parsed) -> base::result<setting_value> {
+        if (!parsed)
+            return fault(parsed.error().message);
+        return checkRange(*parsed);
+    };
+    switch (m_type) {
+    case setting_type::Integer:
+        return checked(parseNumber<std::int64_t>(text, "an integer"));
+    case setting_type::Duration:
+        return checked(parseNumber<std::int64_t>(text, "a duration in whole ms"));
+    case setting_type::Number:
+        return checked(parseNumber<double>(text, "a number"));
+    case setting_type::Boolean:
+        if (text != "true" && text != "false")
+            return fault(fmt::format("\"{}\" is neither true nor false", text));
+        return setting_value(text == "true");
+    case setting_type::Text:
+        return checkRange(std::string(text));
+    case setting_type::TextList:
+        return checkRange(splitList(text));
+    }
+    return fault("unknown type");
+}
+
+base::result<setting_value> setting::check(setting_value value) const
+{
+    if (m_type == setting_type::Number && std::holds_alternative<std::int64_t>(value))
+        value = static_cast<double>(std::get<std::int64_t>(value));
+    if (value.index() != m_default.index())
+        return fault(fmt::format("expected {}, found {}",
+            m_type == setting_type::Duration ? "duration (integer, ms)" : nameOf(m_type), typeNameOf(value)));
+    return checkRange(std::move(value));
+}
+
+std::string setting::textFault(std::string_view text) const
+{
+    if (text.find_first_of(std::string_view("\0\n\r", 3)) != std::string_view::npos)
+        return "text holds a line break or a zero byte";
+    if (!m_choice.names.empty()
+        && std::find(m_choice.names.begin(), m_choice.names.end(), text) == m_choice.names.end())
+        return fmt::format("\"{}\" is none of {}", text, fmt::join(m_choice.names, ", "));
+    return formatFault(m_options.format, text);
+}
+
+base::result<setting_value> setting::checkRange(setting_value value) const
+{
+    double measure = 0;
+    if (const auto* integer = std::get_if<std::int64_t>(&value)) {
+        measure = static_cast<double>(*integer);
+    } else if (const auto* number = std::get_if<double>(&value)) {
+        measure = *number;
+        if (!std::isfinite(*number))
+            return fault("value is not a finite number");
+    } else if (const auto* text = std::get_if<std::string>(&value)) {
+        measure = static_cast<double>(text->size());
+        if (auto message = textFault(*text); !message.empty())
+            return fault(std::move(message));
+        if (text->empty()) // An empty text means "not set"; `required` is checked after all sources.
+            return value;
+    } else if (const auto* list = std::get_if<std::vector<std::string>>(&value)) {
+        measure = static_cast<double>(list->size());
+        for (const auto& entry : *list) {
+            if (entry.empty())
+                return fault("list holds an empty entry");
+            if (auto message = textFault(entry); !message.empty())
+                return fault(std::move(message));
+        }
+    }
+    if (std::holds_alternative<bool>(value))
+        return value;
+    if ((m_options.minimum && measure < *m_options.minimum)
+        || (m_options.maximum && measure > *m_options.maximum))
+        return fault(
+            fmt::format("{} is outside the range {}{}{}", m_options.secret ? "the value" : renderValue(value),
+                range(), m_options.unit.empty() ? "" : " ", m_options.unit));
+    return value;
+}
+
+setting_value setting::read() const
+{
+    if (!m_choice.names.empty())
+        return m_choice.names.at(m_choice.read());
+    return std::visit(
+        [](auto* member) -> setting_value {
+            using member_type = std::remove_pointer_t<decltype(member)>;
+            if constexpr (typeOfMember<member_type>() == setting_type::Duration)
+                return static_cast<std::int64_t>(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(*member).count());
+            else if constexpr (typeOfMember<member_type>() == setting_type::Integer)
+                return static_cast<std::int64_t>(*member);
+            else
+                return *member;
+        },
+        m_target);
+}
+
+void setting::write(const setting_value& value) const
+{
+    if (!m_choice.names.empty()) {
+        const auto& names = m_choice.names;
+        const auto found = std::find(names.begin(), names.end(), std::get<std::string>(value));
+        m_choice.write(static_cast<std::size_t>(found - names.begin()));
+        return;
+    }
+    std::visit(
+        [&value](auto* member) {
+            using member_type = std::remove_pointer_t<decltype(member)>;
+            if constexpr (typeOfMember<member_type>() == setting_type::Duration)
+                *member = std::chrono::milliseconds(std::get<std::int64_t>(value));
+            else if constexpr (typeOfMember<member_type>() == setting_type::Integer)
+                *member = static_cast<member_type>(std::get<std::int64_t>(value));
+            else
+                *member = std::get<member_type>(value);
+        },
+        m_target);
+}
+
+} // namespace marigold::settings
--- /dev/null
+++ b/tests/libs/settings/depends.cmake
@@ -0,0 +1,6 @@
+# Tests that compare documentation pages find them from the source root.
+if(NOT TARGET marigold_source_root)
+    add_library(marigold_source_root INTERFACE)
+    target_compile_definitions(marigold_source_root INTERFACE MARIGOLD_SOURCE_ROOT="${CMAKE_SOURCE_DIR}")
+endif()
+set(DEPENDS marigold_source_root)
