Add the routing library with its property tests

target_table, cost_model, router, fair_queue, retry_budget and outlier_detector run in the entry, admission and cold_ramp in the agent. All of it is pure: time through base::clock or an argument, randomness through base::random_source.

Nothing is measured yet.

--- /dev/null
+++ b/src/libs/routing/admission.cpp
@@ -0,0 +1,234 @@
+#include "admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigold::routing {
+
+namespace {
+
+constexpr std::int64_t smoothingSteps = 8; // the mean service time covers about the last eight runs
+constexpr std::chrono::milliseconds shortestRetry { 50 };
+constexpr std::chrono::milliseconds longestRetry { 30'000 };
+constexpr std::chrono::milliseconds retryWithoutHistory { 1'000 };
+
+std::chrono::milliseconds retryAfter(base::duration wait)
+{
+    if (wait == base::duration::zero())
+        return retryWithoutHistory;
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(wait), shortestRetry, longestRetry);
+}
+
+base::error refusal(base::error_reason reason, const char* message, base::duration wait)
+{
+    return {
+        .verdict = base::verdict::NotRun, .reason = reason, .message = message, .retryAfter = retryAfter(wait)
+    };
+}
+
+} // namespace
+
+std::string_view nameOf(priority value)
+{
+    constexpr std::array<std::string_view, 3> names { "interactive", "normal", "batch" };
+    return names[static_cast<std::size_t>(value)];
+}
+
+admission::admission(const base::clock& time, options opts, int adopted)
+    : m_clock(time)
+    , m_options(std::move(opts))
+    , m_adopted(std::max(adopted, 0))
+{
+    m_options.bound = std::max(m_options.bound, 1);
+}
+
+int admission::queued() const
+{
+    std::size_t count = 0;
+    for (const auto& queue : m_queues)
+        count += queue.size();
+    return static_cast<int>(count);
+}
+
+bool admission::isLong(const work& item) const
+{
+    return item.priority != priority::Interactive && item.prefillTokens > m_options.longPrefillTokens;
+}
+
+bool admission::canStart(const work& item) const
+{
+    if (running() >= m_options.bound)
+        return false;
+    if (item.priority == priority::Interactive)
+        return true;
+    // Adopted work is of unknown class and counts as non-interactive.
+    const int reserve = std::min(m_options.interactiveReserve, m_options.bound - 1);
+    if (m_nonInteractive + m_adopted >= m_options.bound - reserve)
+        return false;
+    return !isLong(item) || m_longPrefills < m_options.longPrefills;
+}
+
+base::duration admission::expectedWait(priority urgency) const
+{
+    // Runs end at the rate of the bound over the mean time that a run holds a slot.
+    std::int64_t ahead = 1;
+    for (std::size_t level = 0; level <= static_cast<std::size_t>(urgency); ++level)
+        ahead += static_cast<std::int64_t>(m_queues[level].size());
+    return m_serviceTime * ahead / m_options.bound;
+}
+
+base::result<admission_outcome> admission::submit(const work& item)
+{
+    expire();
+    if (item.deadline <= m_clock.now())
+        return tl::unexpected(
+            refusal(base::error_reason::DeadlineExceeded, "the deadline has passed", base::duration::zero()));
+    // Queued work starts as soon as it can, so whatever could start now overtakes none that could too.
+    if (canStart(item)) {
+        begin(item);
+        return admission_outcome::Started;
+    }
+    const base::duration wait = expectedWait(item.priority);
+    if (item.deadline - m_clock.now() < wait)
+        return tl::unexpected(
+            refusal(base::error_reason::DeadlineExceeded, "the queue is too long for the deadline", wait));
+    if (static_cast<std::size_t>(queued()) >= m_options.queueCapacity && !makeRoom(item.priority))
+        return tl::unexpected(refusal(base::error_reason::Overloaded, "the queue is full", wait));
+    m_queues[static_cast<std::size_t>(item.priority)].push_back(item);
+    return admission_outcome::Queued;
+}
+
+bool admission::makeRoom(priority urgency)
+{
+    for (std::size_t level = m_queues.size() - 1; level > static_cast<std::size_t>(urgency); --level) {
+        if (m_queues[level].empty())
+            continue;
+        const work last = m_queues[level].back();
+        m_queues[level].pop_back();
+        shed(last, base::error_reason::Overloaded, "more urgent work took the place in the queue");
+        return true;
+    }
+    return false;
+}
+
+void admission::begin(const work& item)
+{
+    m_running.emplace(item.id, run { .item = item, .startedAt = m_clock.now() });
+    m_pendingTokens += item.prefillTokens;
+    if (item.priority != priority::Interactive)
+        ++m_nonInteractive;
+    if (isLong(item))
+        ++m_longPrefills;
+}
+
+void admission::prefillDone(work_id id)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end() || !found->second.prefilling)
+        return;
+    found->second.prefilling = false;
+    m_pendingTokens -= found->second.item.prefillTokens;
+    if (!isLong(found->second.item))
+        return;
+    --m_longPrefills;
+    startQueued();
+}
+
+void admission::finish(work_id id)
+{
+    prefillDone(id);
+    const auto found = m_running.find(id);
+    if (found == m_running.end())
+        return;
+    const base::duration held = m_clock.now() - found->second.startedAt;
+    m_serviceTime = m_serviceTime == base::duration::zero()
+        ? held
+        : m_serviceTime + (held - m_serviceTime) / smoothingSteps;
+    if (found->second.item.priority != priority::Interactive)
+        --m_nonInteractive;
+    m_running.erase(found);
+    startQueued();
+}
+
+bool admission::cancelQueued(work_id id)
+{
+    std::size_t removed = 0;
+    for (auto& queue : m_queues)
+        removed += std::erase_if(queue, [&](const work& item) { return item.id == id; });
+    return removed > 0;
+}
+
+void admission::setBound(int bound)
+{
+    m_options.bound = std::max(bound, 1);
+    startQueued();
+}
+
+void admission::engineReported(int running, base::time_point measuredAt)
+{
+    // Own runs that certainly were in the report are subtracted; what is left bounds the adopted runs from
+    // above.
+    int own = 0;
+    for (const auto& [id, entry] : m_running)
+        own += entry.startedAt <= measuredAt - m_options.startLag ? 1 : 0;
+    m_adopted = std::min(m_adopted, std::max(running - own, 0));
+    startQueued();
+}
+
+void admission::startQueued()
+{
+    // A start callback may end work at once and come back here; the outer loop then goes on.
+    if (std::exchange(m_starting, true))
+        return;
+    expire();
+    while (startOne()) { }
+    m_starting = false;
+}
+
+bool admission::startOne()
+{
+    for (auto& queue : m_queues) {
+        const auto next = std::ranges::find_if(queue, [&](const work& item) { return canStart(item); });
+        if (next == queue.end())
+            continue;
+        const work item = *next;
+        queue.erase(next);
+        begin(item);
+        if (m_options.start)
+            m_options.start(item);
+        return true;
+    }
+    return false;
+}
+
+void admission::expire()
+{
+    const base::time_point now = m_clock.now();
+    std::deque<work> expired;
+    for (auto& queue : m_queues)
+        std::erase_if(queue, [&](const work& item) {
+            if (item.deadline > now)
+                return false;
+            expired.push_back(item);
+            return true;
+        });
+    for (const work& item : expired)
+        shed(item, base::error_reason::DeadlineExceeded, "the deadline passed in the queue");
+}
+
+void admission::shed(const work& item, base::error_reason reason, const char* message) const
+{
+    if (m_options.refuse)
+        m_options.refuse(item, refusal(reason, message, expectedWait(item.priority)));
+}
+
+base::time_point admission::nextDeadline() const
+{
+    base::time_point earliest = base::time_point::max();
+    for (const auto& queue : m_queues)
+        for (const work& item : queue)
+            earliest = std::min(earliest, item.deadline);
+    return earliest;
+}
+
+} // namespace marigold::routing
--- /dev/null
+++ b/src/libs/routing/fair_queue.cpp
@@ -0,0 +1,138 @@
+#include "fair_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigold::routing {
+
+namespace {
+
+constexpr double smallestWeight = 1e-3; // keeps a team of weight zero from waiting forever
+constexpr std::chrono::milliseconds retryWhenFull { 1'000 };
+
+base::error refusal(base::error_reason reason, const char* message)
+{
+    return {
+        .verdict = base::verdict::NotRun, .reason = reason, .message = message, .retryAfter = retryWhenFull
+    };
+}
+
+} // namespace
+
+fair_queue::fair_queue(options opts)
+    : m_options(std::move(opts))
+{
+}
+
+fair_queue::team_index fair_queue::indexOf(std::string_view team)
+{
+    const auto found = m_byName.find(team);
+    if (found != m_byName.end())
+        return found->second;
+    const auto index = static_cast<team_index>(m_teams.size());
+    m_byName.emplace(team, index);
+    m_teams.emplace_back();
+    return index;
+}
+
+void fair_queue::setWeight(std::string_view team, double weight)
+{
+    m_teams[indexOf(team)].weight = std::max(weight, smallestWeight);
+}
+
+double fair_queue::lengthOf(const team_record& team) const
+{
+    return static_cast<double>(team.waiting.size()) / team.weight;
+}
+
+fair_queue::team_index fair_queue::longestForItsWeight() const
+{
+    return std::ranges::max_element(m_active, [&](const auto& a, const auto& b) {
+        return lengthOf(m_teams[a.second]) < lengthOf(m_teams[b.second]);
+    })->second;
+}
+
+base::result<void> fair_queue::push(std::string_view team, const queued_request& item)
+{
+    const team_index index = indexOf(team);
+    if (m_teams[index].waiting.size() >= m_options.teamCapacity)
+        return tl::unexpected(refusal(base::error_reason::Overloaded, "too many requests of this team wait"));
+    if (m_size >= m_options.capacity) {
+        const team_index longest = m_active.empty() ? index : longestForItsWeight();
+        const double newLength
+            = static_cast<double>(m_teams[index].waiting.size() + 1) / m_teams[index].weight;
+        if (newLength >= lengthOf(m_teams[longest]))
+            return tl::unexpected(refusal(base::error_reason::Overloaded, "the queue of this entry is full"));
+        dropNewest(longest);
+    }
+    m_teams[index].waiting.push_back(item);
+    ++m_size;
+    if (m_teams[index].waiting.size() == 1)
+        activate(index);
+    return {};
+}
+
+void fair_queue::activate(team_index index)
+{
+    team_record& team = m_teams[index];
+    // A team that paused keeps a bounded part of the share that it did not use.
+    team.start = std::max(m_virtualTime - m_options.burst / team.weight, team.finish);
+    m_active.emplace(team.start, index);
+}
+
+void fair_queue::dropNewest(team_index index)
+{
+    team_record& team = m_teams[index];
+    const queued_request dropped = team.waiting.back();
+    team.waiting.pop_back();
+    --m_size;
+    if (team.waiting.empty())
+        m_active.erase({ team.start, index });
+    if (m_options.refuse)
+        m_options.refuse(dropped.id,
+            refusal(base::error_reason::Overloaded,
+                "the queue is full and this team has the most requests in it"));
+}
+
+std::optional<queued_request> fair_queue::pop(base::time_point now)
+{
+    while (!m_active.empty()) {
+        const auto [start, index] = *m_active.begin();
+        team_record& team = m_teams[index];
+        const queued_request item = team.waiting.front();
+        team.waiting.pop_front();
+        --m_size;
+        m_active.erase(m_active.begin());
+        const bool expired = item.deadline <= now;
+        if (!expired) {
+            m_virtualTime = std::max(m_virtualTime, start);
+            team.finish = start + item.cost / team.weight;
+        }
+        if (!team.waiting.empty()) {
+            team.start = expired ? start : team.finish;
+            m_active.emplace(team.start, index);
+        }
+        if (!expired)
+            return item;
+        if (m_options.refuse)
+            m_options.refuse(
+                item.id, refusal(base::error_reason::DeadlineExceeded, "the deadline passed in the queue"));
+    }
+    return std::nullopt;
+}
+
+bool fair_queue::cancel(std::string_view team, request_id id)
+{
+    const auto found = m_byName.find(team);
+    if (found == m_byName.end())
+        return false;
+    team_record& record = m_teams[found->second];
+    const std::size_t removed
+        = std::erase_if(record.waiting, [&](const queued_request& item) { return item.id == id; });
+    m_size -= removed;
+    if (removed > 0 && record.waiting.empty())
+        m_active.erase({ record.start, found->second });
+    return removed > 0;
+}
+
+} // namespace marigold::routing
--- /dev/null
+++ b/src/libs/routing/router.cpp
@@ -0,0 +1,222 @@
+#include "router.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace marigold::routing {
+
+namespace {
+
+constexpr std::uint16_t bit(route_reason reason)
+{
+    return static_cast<std::uint16_t>(reason);
+}
+
+/// Finalizer of SplitMix64 (Steele, Lea and Flood 2014); mixes a prefix key with the hash of a target.
+constexpr std::uint64_t mixed(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+} // namespace
+
+std::string_view nameOf(routing_policy policy)
+{
+    constexpr std::array<std::string_view, 3> names { "prompt", "idempotent_call", "home_call" };
+    return names[static_cast<std::size_t>(policy)];
+}
+
+/// Candidates under construction.
+struct router::draft {
+    static constexpr std::size_t capacity = 24;
+
+    const route_request& request;
+    std::array<candidate, capacity> items {};
+    std::size_t count = 0;
+
+    bool isFull() const { return count == capacity; }
+    std::span<candidate> all() { return { items.data(), count }; }
+};
+
+router::router(const target_table& table, base::random_source& random, options opts, outlier_detector* probes)
+    : m_table(table)
+    , m_random(random)
+    , m_options(opts)
+    , m_probes(probes)
+{
+}
+
+bool router::isUsable(target_index target, const route_request& request) const
+{
+    if (target >= m_table.size() || !m_table.isEligible(target))
+        return false;
+    if (!request.version.empty() && m_table.info(target).version != request.version)
+        return false;
+    return std::ranges::find(request.tried, target) == request.tried.end();
+}
+
+void router::add(draft& pool, target_index target, std::uint16_t reasons) const
+{
+    for (candidate& known : pool.all()) {
+        if (known.target == target) {
+            known.reasons |= reasons;
+            return;
+        }
+    }
+    if (pool.isFull() || !isUsable(target, pool.request))
+        return;
+    if (m_table.isSameDomain(target))
+        reasons |= bit(route_reason::SameDomain);
+    if (!m_table.isSameRegion(target))
+        reasons |= bit(route_reason::OtherRegion);
+    if (m_table.isLastResort(target))
+        reasons |= bit(route_reason::LastResort);
+    pool.items[pool.count++] = { .target = target, .reasons = reasons };
+}
+
+void router::addHomes(draft& pool, const target_group& group) const
+{
+    // The hash alone is compared for most targets; the checks run only for one that would take a place.
+    struct place {
+        std::uint64_t score = 0;
+        target_index index = noTarget;
+    };
+    place first;
+    place second;
+    for (const auto* members : { &group.sameDomain, &group.sameRegion }) {
+        for (const target_group::member& m : *members) {
+            const std::uint64_t score = mixed(m.seed ^ pool.request.prefixKey);
+            if (score <= second.score || !isUsable(m.index, pool.request))
+                continue;
+            second = { .score = score, .index = m.index };
+            if (second.score > first.score)
+                std::swap(first, second);
+        }
+    }
+    for (const place& found : { first, second })
+        if (found.index != noTarget)
+            add(pool, found.index, bit(route_reason::PrefixHome));
+}
+
+void router::addSamples(
+    draft& pool, std::span<const target_group::member> members, std::size_t wanted, std::uint16_t reasons)
+{
+    if (members.empty())
+        return;
+    // Four draws for each wanted target find a usable one even when most targets of the group are excluded.
+    const std::size_t before = pool.count;
+    for (std::size_t draws = 4 * wanted; draws > 0 && pool.count < before + wanted; --draws)
+        add(pool, members[m_random.below(members.size())].index, reasons);
+}
+
+void router::addFallbacks(draft& pool, const target_group& group)
+{
+    const auto reasons = bit(route_reason::Fallback);
+    const auto wanted
+        = [&] { return pool.count < route_decision::capacity ? route_decision::capacity - pool.count : 0; };
+    addSamples(pool, group.sameDomain, wanted(), reasons);
+    addSamples(pool, group.sameRegion, wanted(), reasons);
+    // A scan from a random place finds the last usable targets where sampling missed them.
+    for (const auto* members : { &group.sameDomain, &group.sameRegion, &group.otherRegions }) {
+        const std::size_t start = m_random.below(members->size());
+        for (std::size_t i = 0; i < members->size() && wanted() > 0; ++i)
+            add(pool, (*members)[(start + i) % members->size()].index, reasons);
+    }
+}
+
+void router::addProbe(draft& pool, base::time_point now)
+{
+    const target_index target = m_probes->dueProbe(now);
+    // Operators, the version and earlier refusals still rule a probe out.
+    if (target == noTarget || pool.isFull() || !m_table.isEjected(target) || !m_table.isSameRegion(target))
+        return;
+    const target_info& info = m_table.info(target);
+    const route_request& request = pool.request;
+    if (info.kind != request.kind || info.model != request.model
+        || (!request.version.empty() && info.version != request.version)
+        || std::ranges::find(request.tried, target) != request.tried.end())
+        return;
+    m_probes->beginProbe(target, now);
+    pool.items[pool.count++] = { .target = target, .reasons = bit(route_reason::Probe) };
+}
+
+void router::weigh(draft& pool, base::time_point now) const
+{
+    const route_request& request = pool.request;
+    const double preference = std::chrono::duration<double>(m_options.domainPreference).count();
+    for (candidate& item : pool.all()) {
+        const load_estimate load = m_table.estimate(item.target, now);
+        context_offer offer { .keptTokens = request.kept.tokens, .transferTime = request.kept.transferTime };
+        for (const prefix_hint& hint : request.hints)
+            if (hint.target == item.target)
+                offer.engineTokens = std::max(offer.engineTokens, hint.tokens);
+        item.cost = cost_model::estimate(request.goal, request.size, load, offer);
+        if (request.policy != routing_policy::Prompt)
+            item.cost.score = static_cast<double>(load.outstanding) / load.slots
+                * std::max(load.serviceSeconds, 0.001); // unreported service times still rank by load
+        if (!item.has(route_reason::SameDomain))
+            item.cost.score += preference;
+        if (item.has(route_reason::PrefixHome))
+            item.cost.score
+                -= m_options.homePreference * request.size.promptTokens / cost_model::prefillSpeed(load);
+    }
+}
+
+route_decision router::route(const route_request& request, base::time_point now)
+{
+    draft pool { .request = request };
+    if (request.policy == routing_policy::HomeCall) {
+        if (request.home != noTarget)
+            add(pool, request.home, bit(route_reason::Home));
+    } else if (const target_group* group = m_table.group(request.kind, request.model)) {
+        if (m_probes)
+            addProbe(pool, now);
+        const std::size_t hints = std::min(request.hints.size(), route_decision::capacity);
+        for (const prefix_hint& hint : request.hints.first(hints))
+            add(pool, hint.target, bit(route_reason::PrefixHint));
+        if (request.policy == routing_policy::Prompt && request.prefixKey != 0)
+            addHomes(pool, *group);
+        addSamples(pool, group->sameDomain, m_options.samples, bit(route_reason::Sampled));
+        addSamples(pool, group->sameRegion, m_options.samples, bit(route_reason::Sampled));
+        addFallbacks(pool, *group);
+    }
+    weigh(pool, now);
+    const auto rank = [](const candidate& item) {
+        if (item.has(route_reason::Probe))
+            return 0;
+        if (item.has(route_reason::LastResort))
+            return 4;
+        if (item.has(route_reason::OtherRegion))
+            return 3;
+        return item.reasons == bit(route_reason::Fallback)
+                || item.reasons == (bit(route_reason::Fallback) | bit(route_reason::SameDomain))
+            ? 2
+            : 1;
+    };
+    std::ranges::stable_sort(pool.all(), [&](const candidate& a, const candidate& b) {
+        return std::pair(rank(a), a.cost.score) < std::pair(rank(b), b.cost.score);
+    });
+    route_decision out;
+    out.m_count = std::min(pool.count, route_decision::capacity);
+    std::copy_n(pool.items.begin(), out.m_count, out.m_items.begin());
+    return out;
+}
+
+std::string router::explain(const candidate& item) const
+{
+    constexpr std::array<std::string_view, 9> names { "prefix_hint", "prefix_home", "sampled", "fallback",
+        "same_domain", "other_region", "last_resort", "probe", "home" };
+    std::string reasons;
+    for (std::size_t i = 0; i < names.size(); ++i)
+        if (item.reasons & (1U << i))
+            reasons += fmt::format("{}{}", reasons.empty() ? "" : ",", names[i]);
+    return fmt::format("target={} reasons={} action={} wait_ms={:.1f} first_token_ms={:.1f} "
+                       "recomputed_tokens={} score={:.4f}",
+        m_table.info(item.target).id, reasons, nameOf(item.cost.action), item.cost.waitSeconds * 1e3,
+        item.cost.firstTokenSeconds * 1e3, item.cost.recomputedTokens, item.cost.score);
+}
+
+} // namespace marigold::routing
--- /dev/null
+++ b/src/libs/routing/target_table.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <base/clock.h>
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::routing {
+
+/// Dense index of a target in the table of this process. An index is never reused.
+using target_index = std::uint32_t;
+inline constexpr target_index noTarget = ~target_index { 0 };
+
+enum class target_kind {
+    Engine,
+    Store,
+    Service,
+};
+
+enum class target_state {
+    Serving,
+    Draining, ///< Finishes its work; takes no new work.
+    Leaving, ///< The platform or an operator removes it; takes no new work.
+    Unreachable, ///< Membership cannot tell; used only when no serving target is left.
+};
+
+/// Returns the lower-case name of \a state.
+std::string_view nameOf(target_state state);
+
+struct target_info {
+    std::string id;
+    std::string failureDomain;
+    std::string region;
+    target_kind kind = target_kind::Engine;
+    std::string model; ///< Model of an engine, or name of a plain service.
+    std::string version = {}; ///< Weight version in use.
+};
+
+/// What a target, or the agent beside it, says of its load.
+struct load_report {
+    int running = 0;
+    int queued = 0;
+    int slots = 1; ///< Concurrent runs that admission allows at present.
+    std::int64_t pendingPrefillTokens = 0; ///< Tokens of admitted prompts still to be prefilled.
+    double prefillTokensPerSecond = 0;
+    base::duration serviceTime { 0 }; ///< Mean time that a run holds a slot.
+};
+
+/// Load of a target at this moment: its report, corrected by the choices of this entry.
+struct load_estimate {
+    int outstanding = 0; ///< Running and queued runs.
+    int slots = 1;
+    double pendingPrefillTokens = 0;
+    double prefillTokensPerSecond = 0;
+    double serviceSeconds = 0;
+    base::duration age { 0 }; ///< Age of the report; the maximum value when there is none.
+};
+
+/// One choice of this entry, to be ended when the run ends or is refused.
+struct choice_ticket {
+    target_index target = noTarget;
+    std::uint64_t sequence = 0;
+    base::time_point chosenAt {};
+};
+
+/// The targets that serve one model or service, split by distance from this entry.
+struct target_group {
+    struct member {
+        std::uint64_t seed; ///< Hash of the target's id, for rendezvous hashing.
+        target_index index;
+    };
+
+    std::vector<member> sameDomain;
+    std::vector<member> sameRegion; ///< Other failure domains of the same region.
+    std::vector<member> otherRegions;
+};
+
+/// The targets known to an entry. A report lags, so the table adds the choices that the report cannot contain
+/// yet and subtracts the runs of this entry that ended since.
+class target_table {
+public:
+    struct options {
+        std::string failureDomain = {}; ///< Of this process.
+        std::string region = {}; ///< Of this process.
+        /// A choice this much older than a report is contained in it (time to reach the target).
+        base::duration reportMargin { 2'000 };
+        /// A choice is forgotten after this time when no report arrives.
+        base::duration choiceLifetime { 10'000'000 };
+    };
+
+    explicit target_table(options opts);
+
+    /// Adds a target, or updates the one with the same id; returns its index.
+    target_index put(const target_info& info);
+
+    /// Removes a target; its index is never used again.
+    void remove(target_index target);
+
+    void setState(target_index target, target_state state);
+
+    /// Takes a single target out of service or puts it back (operators).
+    void setTakenOut(target_index target, bool takenOut);
+
+    /// Marks a target as ejected by the outlier detector, or as returned.
+    void setEjected(target_index target, bool ejected);
+
+    /// Replaces the set of failure domains that get no new work.
+    void setExcludedDomains(std::span<const std::string> domains);
+
+    /// Stores a report that describes the load at \a measuredAt; an older report than the stored one is
+    /// ignored.
+    void report(target_index target, const load_report& load, base::time_point measuredAt);
+
+    /// Records that this entry sends a run with \a prefillTokens to \a target.
+    choice_ticket recordChoice(target_index target, int prefillTokens, base::time_point now);
+
+    /// Records that the run of \a ticket ended or was refused.
+    void recordEnd(const choice_ticket& ticket, base::time_point now);
+
+    load_estimate estimate(target_index target, base::time_point now) const;
+
+    /// Returns the group that serves \a model; null when there is none.
+    const target_group* group(target_kind kind, std::string_view model) const;
+
+    /// Says whether new work may be sent to \a target at all; an unreachable target of this region counts.
+    bool isEligible(target_index target) const { return m_blocked[target] == 0; }
+
+    /// Says whether \a target may be used only when no other is left.
+    bool isLastResort(target_index target) const
+    {
+        return m_records[target].state == target_state::Unreachable;
+    }
+
+    bool isEjected(target_index target) const { return m_blocked[target] == ejectedBit; }
+    bool isSameDomain(target_index target) const { return m_records[target].near == proximity::SameDomain; }
+    bool isSameRegion(target_index target) const { return m_records[target].near != proximity::OtherRegion; }
+    const target_info& info(target_index target) const { return m_records[target].info; }
+    target_state state(target_index target) const { return m_records[target].state; }
+
+    /// Returns the index for \a id, or `noTarget`.
+    target_index find(std::string_view id) const;
+
+    /// Number of indices given out; removed targets count.
+    std::size_t size() const { return m_records.size(); }
+
+private:
+    enum class proximity : std::uint8_t { SameDomain, SameRegion, OtherRegion };
+
+    struct choice {
+        std::uint64_t sequence;
+        base::time_point at;
+        int prefillTokens;
+    };
+
+    struct record {
+        target_info info;
+        target_state state = target_state::Serving;
+        proximity near = proximity::OtherRegion;
+        bool takenOut = false;
+        bool ejected = false;
+        bool domainExcluded = false;
+        bool removed = false;
+        bool reported = false;
+        load_report load;
+        base::time_point measuredAt {};
+        std::vector<choice> recent; ///< Choices that the report does not contain, oldest first.
+        std::vector<base::time_point> departed; ///< Ends of runs that the report still contains.
+    };
+
+    using group_key = std::pair<target_kind, std::string>;
+    struct key_less {
+        using is_transparent = void;
+        template <typename A, typename B> bool operator()(const A& a, const B& b) const
+        {
+            if (a.first != b.first)
+                return a.first < b.first;
+            return std::string_view(a.second) < std::string_view(b.second);
+        }
+    };
+
+    static constexpr std::uint8_t outOfServiceBit = 1;
+    static constexpr std::uint8_t ejectedBit = 2;
+
+    void updateBlocked(target_index target);
+    void link(target_index target);
+    void unlink(target_index target);
+    std::vector<target_group::member>& membersFor(const record& entry);
+    void forgetOld(record& entry, base::time_point now) const;
+
+    options m_options;
+    std::uint64_t m_lastSequence = 0;
+    std::vector<record> m_records;
+    std::vector<std::uint8_t> m_blocked; ///< Apart from the records, since a decision scans it.
+    std::vector<std::string> m_excludedDomains;
+    std::map<std::string, target_index, std::less<>> m_byId;
+    std::map<group_key, target_group, key_less> m_groups;
+};
+
+} // namespace marigold::routing
