Add the stand-in program and the daemons' command line

Cause: the stand-ins must run as processes with settings of their own.

Conclusion: daemons can be tried against real processes.

--- /dev/null
+++ b/src/libs/node/command_line.cpp
@@ -0,0 +1,62 @@
+#include "command_line.h"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+namespace marigold::node {
+
+namespace {
+
+constexpr int exitDone = 0;
+constexpr int exitSettings = 1;
+constexpr int exitUsage = 2;
+
+} // namespace
+
+std::optional<int> readCommandLine(
+    const program_description& program, settings::settings_reader& reader, int argc, char** argv)
+{
+    cxxopts::Options options(program.name, program.summary);
+    options.add_options()(
+        "config", "TOML file with the settings", cxxopts::value<std::string>()->default_value(""));
+    options.add_options()("set", "section.key=value, overrides file and environment; may be repeated",
+        cxxopts::value<std::vector<std::string>>());
+    options.add_options()("check-config", "Check the settings and exit");
+    options.add_options()("settings-reference", "Print the reference of all settings and exit");
+    options.add_options()("version", "Print the version and exit");
+    options.add_options()("help", "Print this help and exit");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help")) {
+            fmt::print("{}\nExample: {} --config {}.toml --set process.listen_port=8081\n", options.help(),
+                program.name, program.name);
+            return exitDone;
+        }
+        if (arguments.count("version")) {
+            fmt::print("{} {}\n", program.name, program.version);
+            return exitDone;
+        }
+        if (arguments.count("settings-reference")) {
+            fmt::print("{}", reader.settingsReference());
+            return exitDone;
+        }
+        settings::settings_sources sources { .file = arguments["config"].as<std::string>(),
+            .environment = settings::systemEnvironment() };
+        if (arguments.count("set"))
+            sources.overrides = arguments["set"].as<std::vector<std::string>>();
+        if (const auto loaded = reader.load(sources); !loaded) {
+            fmt::print(stderr, "{}\n", loaded.error().message);
+            return exitSettings;
+        }
+        if (arguments.count("check-config")) {
+            fmt::print("settings are correct\n");
+            return exitDone;
+        }
+    } catch (const cxxopts::exceptions::exception& problem) {
+        fmt::print(stderr, "{}: {}\nTry --help.\n", program.name, problem.what());
+        return exitUsage;
+    }
+    return std::nullopt;
+}
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/libs/node/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_base marigold_net marigold_settings marigold_platform fmt)
--- /dev/null
+++ b/src/programs/standin/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_node marigold_standin marigold_settings)
