Add the port and adapter for the data side of engines

Cause: agents run prompts and move blocks through an engine.

Conclusion: agent code needs no knowledge of the engine's HTTP interface.

--- a/src/libs/platform/platform.h
+++ b/src/libs/platform/platform.h
@@ -3,6 +3,8 @@
 /// \file
 /// Public header of the platform library: ports to the systems outside, and their adapters over HTTP.
 
+#include "completion_engine.h"
+#include "http_completion_engine.h"
 #include "http_kv_store.h"
 #include "http_model_engine.h"
 #include "http_vm_list.h"
