Add JSON-RPC between processes on the loop

Cause: the connectors of libjsonrpccpp bring threads, and its client headers do not compile as C++20 (dynamic exception specifications).

Change: rpc_endpoint feeds AbstractServer from the HTTP server; requests are encoded with nlohmann/json.

Conclusion: configuration pull and dump can use the library without a thread.

--- a/src/libs/net/net.h
+++ b/src/libs/net/net.h
@@ -7,4 +7,5 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "http_types.h"
+#include "rpc_endpoint.h"
 #include "udp_socket.h"
