--- /dev/null
+++ b/src/libs/control/config_document.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <base/base.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::control {
+
+/// Limits that an operator set for a team; an absent limit does not apply.
+struct team_limits {
+    std::optional<double> requestsPerSecond = {};
+    std::optional<double> tokensPerSecond = {};
+    std::optional<std::uint64_t> concurrentRequests = {};
+};
+
+struct team {
+    double weight = 1; ///< Share among the teams that wait, relative to their weights.
+    double burst = 1; ///< Multiple of the share that may be used for a short time.
+    std::vector<std::string> keyHashes; ///< SHA-256 of each API key, hexadecimal.
+    std::string blockSecret; ///< Key of the HMAC that names cached blocks. Never logged.
+    team_limits limits;
+};
+
+/// What happens to a stream when its target is lost.
+enum class model_policy {
+    ShareRecomputed, ///< Choices minimise the fraction of context that is recomputed.
+    FirstToken, ///< Choices minimise the time to first token.
+};
+
+/// Returns the name that documents use: `share_recomputed` or `first_token`.
+std::string_view nameOf(model_policy policy);
+
+struct adapter {
+    std::string team; ///< The only team that may use it; empty for all.
+};
+
+struct model {
+    std::string version; ///< Weight version in use before a swap.
+    std::string wantedVersion; ///< Weight version that the targets shall serve.
+    std::map<std::string, adapter, std::less<>> adapters;
+    model_policy policy = model_policy::ShareRecomputed;
+};
+
+struct service {
+    std::vector<std::string> idempotent; ///< Methods or paths that may be repeated.
+    std::string model; ///< Model of the targets behind it; empty for a plain service.
+};
+
+struct failure_domain {
+    bool inService = true;
+};
+
+enum class target_kind {
+    Engine,
+    Store,
+    Service,
+};
+
+/// Returns the name that documents use: `engine`, `store` or `service`.
+std::string_view nameOf(target_kind kind);
+
+struct target {
+    std::string address; ///< IP number and port of the agent.
+    std::string failureDomain;
+    std::string region;
+    target_kind kind = target_kind::Engine;
+    std::string model; ///< Set for engines alone.
+    std::string service; ///< Set for plain services alone.
+};
+
+struct operator_account {
+    std::string keyHash;
+    bool mayRead = false;
+    bool mayChange = false;
+    bool mayEndanger = false; ///< Right `dangerous`.
+};
+
+struct weight_store {
+    std::uint64_t concurrentLoads = 1; ///< Weight loads at once without slowdown.
+};
+
+template <typename T> using named = std::map<std::string, T, std::less<>>;
+
+/// Typed content of a document.
+struct config_content {
+    named<team> teams;
+    named<model> models;
+    named<service> services;
+    named<failure_domain> failureDomains;
+    named<bool> drainedTargets;
+    named<target> targets;
+    named<operator_account> operators;
+    named<weight_store> weightStores;
+    double capacityFloor = 0.75; ///< Part of a model's targets that a rolling swap leaves in service.
+
+    /// Says whether new work may go to \a id: its failure domain is in service and it is not drained.
+    bool isInService(const target& value, std::string_view id) const;
+};
+
+/// Size above which a document is refused: the key-value service takes values of up to 1 MB, and a snapshot
+/// needs room for its version and digest.
+inline constexpr std::size_t maxDocumentBytes = 990'000;
+
+/// An immutable configuration document: its canonical JSON text, the digest of that text and a typed view.
+/// Copies share their content.
+class config_document {
+public:
+    /// The empty document, which is version 0 of every fleet.
+    config_document();
+
+    /// Parses \a text strictly: unknown and duplicate members, wrong types and values out of range are
+    /// errors whose `field` is the JSON pointer of the place.
+    static base::result<config_document> parse(std::string_view text);
+
+    const config_content& content() const { return m_state->content; }
+
+    /// Returns the canonical text: members in order of name and no white space.
+    const std::string& text() const { return m_state->text; }
+
+    const base::digest256& digest() const { return m_state->digest; }
+
+private:
+    struct state {
+        std::string text;
+        base::digest256 digest {};
+        config_content content;
+    };
+
+    explicit config_document(std::shared_ptr<const state> value)
+        : m_state(std::move(value))
+    {
+    }
+
+    std::shared_ptr<const state> m_state;
+};
+
+} // namespace marigold::control
--- /dev/null
+++ b/src/libs/control/json_reader.cpp
@@ -0,0 +1,184 @@
+#include "json_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace marigold::control::detail {
+
+namespace {
+
+constexpr int maxDepth = 16;
+constexpr std::size_t maxTextBytes = 1024;
+
+using nlohmann::json;
+
+/// Refuses duplicate members and deep nesting while a text is parsed.
+class strict_callback {
+public:
+    bool operator()(int depth, json::parse_event_t event, json& parsed)
+    {
+        if (depth > maxDepth)
+            throw field_error("", fmt::format("nested more than {} levels deep", maxDepth));
+        if (event == json::parse_event_t::object_start)
+            m_names.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            m_names.pop_back();
+        else if (event == json::parse_event_t::key
+            && !m_names.back().insert(parsed.get<std::string>()).second)
+            throw field_error("", "duplicate member \"" + parsed.get<std::string>() + '"');
+        return true;
+    }
+
+private:
+    std::vector<std::set<std::string>> m_names;
+};
+
+} // namespace
+
+std::string escapePointer(std::string_view name)
+{
+    std::string out;
+    for (const char c : name) {
+        if (c == '~')
+            out += "~0";
+        else if (c == '/')
+            out += "~1";
+        else
+            out += c;
+    }
+    return out;
+}
+
+base::result<json> parseJson(std::string_view text)
+{
+    try {
+        return json::parse(text,
+            [check = std::make_shared<strict_callback>()](int depth, json::parse_event_t event,
+                json& parsed) { return (*check)(depth, event, parsed); });
+    } catch (const field_error& problem) {
+        return base::notRun(base::error_reason::InvalidRequest, problem.what(), problem.path);
+    } catch (const json::exception& problem) {
+        return base::notRun(base::error_reason::InvalidRequest, problem.what());
+    }
+}
+
+object_reader::object_reader(const json& value, std::string path)
+    : m_value(value)
+    , m_path(std::move(path))
+{
+    if (!value.is_object())
+        throw field_error(m_path, "not an object");
+}
+
+const json* object_reader::find(std::string_view name)
+{
+    m_known.emplace_back(name);
+    const auto found = m_value.find(name);
+    return found == m_value.end() ? nullptr : &*found;
+}
+
+const json& object_reader::need(std::string_view name)
+{
+    const json* value = find(name);
+    if (!value)
+        throw field_error(pathOf(name), "missing");
+    return *value;
+}
+
+std::string object_reader::text(std::string_view name, std::optional<std::string> absent)
+{
+    const json* value = absent ? find(name) : &need(name);
+    if (!value)
+        return *absent;
+    if (!value->is_string())
+        throw field_error(pathOf(name), "not a text");
+    auto out = value->get<std::string>();
+    if (out.size() > maxTextBytes)
+        throw field_error(pathOf(name), fmt::format("longer than {} bytes", maxTextBytes));
+    if (out.empty() && !absent)
+        throw field_error(pathOf(name), "empty");
+    return out;
+}
+
+bool object_reader::flag(std::string_view name, std::optional<bool> absent)
+{
+    const json* value = absent ? find(name) : &need(name);
+    if (!value)
+        return *absent;
+    if (!value->is_boolean())
+        throw field_error(pathOf(name), "neither true nor false");
+    return value->get<bool>();
+}
+
+std::uint64_t object_reader::count(
+    std::string_view name, std::uint64_t low, std::uint64_t high, std::optional<std::uint64_t> absent)
+{
+    const json* value = absent ? find(name) : &need(name);
+    if (!value)
+        return *absent;
+    if (!value->is_number_integer() || (!value->is_number_unsigned() && value->get<std::int64_t>() < 0))
+        throw field_error(pathOf(name), "not a whole number of zero or more");
+    const auto out = value->get<std::uint64_t>();
+    if (out < low || out > high)
+        throw field_error(pathOf(name), fmt::format("{} is not in [{}, {}]", out, low, high));
+    return out;
+}
+
+double object_reader::number(
+    std::string_view name, double low, double high, std::optional<double> absent, bool withLow)
+{
+    const json* value = absent ? find(name) : &need(name);
+    if (!value)
+        return *absent;
+    if (!value->is_number())
+        throw field_error(pathOf(name), "not a number");
+    const auto out = value->get<double>();
+    if (!std::isfinite(out) || out < low || (out == low && !withLow) || out > high)
+        throw field_error(
+            pathOf(name), fmt::format("{} is not in {}{}, {}]", out, withLow ? '[' : '(', low, high));
+    return out;
+}
+
+std::vector<std::string> object_reader::texts(std::string_view name)
+{
+    std::vector<std::string> out;
+    const json* value = find(name);
+    if (!value)
+        return out;
+    if (!value->is_array())
+        throw field_error(pathOf(name), "not an array");
+    for (const auto& item : *value) {
+        if (!item.is_string() || item.get_ref<const std::string&>().empty())
+            throw field_error(fmt::format("{}/{}", pathOf(name), out.size()), "not a text, or empty");
+        out.push_back(item.get<std::string>());
+    }
+    return out;
+}
+
+void object_reader::members(
+    std::string_view name, const std::function<void(const std::string&, const json&, std::string)>& each)
+{
+    const json* value = find(name);
+    if (!value)
+        return;
+    if (!value->is_object())
+        throw field_error(pathOf(name), "not an object");
+    for (const auto& [key, member] : value->items()) {
+        const std::string path = pathOf(name) + '/' + escapePointer(key);
+        if (key.empty() || key.size() > 128)
+            throw field_error(path, "a name has 1 to 128 bytes");
+        each(key, member, path);
+    }
+}
+
+void object_reader::finish() const
+{
+    for (const auto& [key, member] : m_value.items())
+        if (std::find(m_known.begin(), m_known.end(), key) == m_known.end())
+            throw field_error(pathOf(key), "unknown field");
+}
+
+} // namespace marigold::control::detail
--- /dev/null
+++ b/src/libs/control/membership.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "datagram_port.h"
+#include "domain_exchange.h"
+#include "in_force.h"
+#include "member_table.h"
+#include "update_queue.h"
+
+#include <platform/platform.h>
+
+#include <deque>
+#include <functional>
+
+namespace marigold::control {
+
+/// What membership tells the rest of the process. Empty functions are not called.
+struct membership_listener {
+    std::function<void(const member&)> changed = {}; ///< A member is new or has another state.
+    std::function<void(std::uint64_t version, const std::string& id)> versionSeen
+        = {}; ///< A member has a higher configuration version than this process.
+    std::function<void()> rejoined
+        = {}; ///< This process was paused or removed: read the configuration again.
+};
+
+/// Traffic of this process, payload with tag plus 28 bytes of IP and UDP header for each datagram.
+struct membership_traffic {
+    std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t sentDatagrams = 0;
+    std::uint64_t receivedDatagrams = 0;
+    std::uint64_t refusedDatagrams = 0; ///< Malformed or not authentic.
+    double bytesPerSecond = 0; ///< Sent and received, over the last full second.
+};
+
+/// Membership after SWIM (Das, Gupta and Motivala 2002), with delegates between failure domains
+/// (design page, 4.5). A state machine on `tick`, `receive` and the datagrams it sends.
+class membership {
+public:
+    struct options {
+        base::duration probeInterval = std::chrono::seconds(1);
+        base::duration probeTimeout = std::chrono::milliseconds(300); ///< Before indirect probes.
+        std::size_t indirectProbes = 2;
+        std::size_t piggyback = 8; ///< Records on one message.
+        /// Suspicion timeout for ten members; grows with log10 of the domain's size.
+        base::duration suspicion = std::chrono::seconds(3);
+        base::duration pauseLimit = std::chrono::seconds(3); ///< A longer gap between ticks is a pause.
+        base::duration tombstones = std::chrono::hours(1);
+        base::duration loadInterval = std::chrono::seconds(5); ///< Least time between spread loads.
+        base::duration syncInterval = std::chrono::seconds(30);
+        base::duration joinInterval
+            = std::chrono::milliseconds(250); ///< Between syncs until the first agreed.
+        std::size_t noticeFanout = 5;
+        int requestFailures = 3; ///< Failed requests after which a member is probed at once.
+        base::duration requestMemory = std::chrono::seconds(10); ///< How long a success counts.
+        domain_exchange::options exchange = {};
+    };
+
+    membership(member self, datagram_port& port, const message_authenticator& authenticator,
+        const base::clock& time, base::random_source& random, const base::event_log& log, options opts);
+
+    void setListener(membership_listener listener) { m_listener = std::move(listener); }
+
+    /// Contacts \a seeds until one of them answers; empty for the first process of a fleet.
+    void join(std::vector<std::string> seeds);
+
+    /// Announces at once that this process leaves.
+    void leave();
+
+    /// Drives all timers; call it every 100 ms.
+    void tick();
+
+    /// Handles one datagram.
+    void receive(std::string_view bytes);
+
+    /// Sets what this process tells of itself. A higher \a version is announced at once.
+    void setConfigVersion(std::uint64_t version);
+    void setLoad(const load_summary& load);
+
+    /// Merges the platform's list: `leaving` is believed at once, absence only of suspect members.
+    void mergeVmList(const std::vector<platform::listed_vm>& list);
+
+    /// Notes the result of a request to \a id.
+    void observeRequest(const std::string& id, bool succeeded);
+
+    /// Returns the state of \a id, with the reachability of its domain taken into account.
+    member_state stateOf(const std::string& id) const;
+
+    /// Says whether new work may go to \a id. Of unreachable members in this region, the results of the
+    /// requests themselves decide; those of other regions get none.
+    bool mayReceiveWork(const std::string& id) const;
+
+    const member_table& table() const { return m_table; }
+    const member& self() const { return m_self; }
+    bool isDelegate() const;
+
+    /// Returns which configuration versions the members have.
+    in_force_report versionsInForce() const;
+
+    /// True once a table was received from another process, or without seeds.
+    bool hasJoined() const { return m_joined; }
+
+    const membership_traffic& traffic() const { return m_traffic; }
+
+private:
+    struct probe {
+        std::uint32_t sequence = 0;
+        std::string target;
+        base::time_point started;
+        bool indirect = false;
+        bool answered = false;
+        bool active = false;
+    };
+
+    struct relay {
+        std::uint32_t sequence = 0; ///< Of the ping sent for another process.
+        std::uint32_t originalSequence = 0;
+        std::string requester;
+        base::time_point until;
+    };
+
+    // membership.cpp
+    void send(const std::string& to, membership_message message);
+    void handle(const membership_message& message);
+    void apply(const member& record, bool direct, bool spread);
+    void learnOfSelf(const member& record);
+    void countSecond(base::time_point now);
+    bool checkPause(base::time_point now);
+    void rejoin(std::uint64_t incarnation);
+    void refreshSelf();
+    void notice(std::size_t fanout);
+    void repeatNotice(base::time_point now);
+    void stateChanged(const std::string& id, bool spread);
+
+    // membership_probe.cpp
+    void tickProbe(base::time_point now);
+    void startProbe(base::time_point now);
+    void endProbe(base::time_point now);
+    void probeRemoved();
+    std::string nextTarget();
+    std::vector<std::string> randomMembers(std::size_t count, const std::string& except);
+    void handlePing(const membership_message& message);
+    void handleAck(const membership_message& message);
+    void handlePingRequest(const membership_message& message);
+    void suspect(const std::string& id, base::time_point now);
+    void tickSuspects(base::time_point now);
+    bool isRemovalHeld() const;
+    base::duration suspicionTimeout() const;
+
+    // membership_sync.cpp
+    void tickSync(base::time_point now);
+    void handleSyncRequest(const membership_message& message);
+    void handleSyncPage(const membership_message& message);
+    void sendPages(const std::string& to, const std::string& domain);
+
+    member m_self;
+    datagram_port& m_port;
+    const message_authenticator& m_authenticator;
+    const base::clock& m_clock;
+    base::random_source& m_random;
+    const base::event_log& m_log;
+    options m_options;
+    membership_listener m_listener;
+    member_table m_table;
+    update_queue m_queue;
+    domain_exchange m_exchange;
+    membership_traffic m_traffic;
+
+    base::time_point m_lastTick;
+    base::time_point m_secondStart;
+    std::uint64_t m_secondBytes = 0;
+    std::uint32_t m_sequence = 0;
+
+    probe m_probe;
+    base::time_point m_nextProbe;
+    std::vector<std::string> m_probeOrder;
+    std::vector<std::string> m_probeFirst;
+    std::vector<relay> m_relays;
+    std::deque<bool> m_probeResults; ///< The last direct probes, newest last.
+    base::time_point m_nextSuspectScan;
+    base::time_point m_nextRemovedProbe;
+
+    std::vector<std::string> m_seeds;
+    bool m_joined = false;
+    base::time_point m_nextSync;
+    base::time_point m_nextLoad;
+    int m_spreadClass = -1; ///< Class of the load that was spread last; -1 to spread again.
+    int m_noticesLeft = 0; ///< Repeats of the notice of the own version.
+    base::time_point m_nextNotice;
+};
+
+} // namespace marigold::control
--- /dev/null
+++ b/src/libs/control/membership_probe.cpp
@@ -0,0 +1,228 @@
+#include "events.h"
+#include "membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+/// \file
+/// Failure detection in `membership`: probes, suspicion and removal.
+
+namespace marigold::control {
+
+namespace {
+
+constexpr std::size_t probeResultsKept = 10;
+constexpr std::size_t fewestResults = 3; ///< Fewer probes say nothing about this process's own network.
+constexpr auto suspectScanInterval = std::chrono::milliseconds(500);
+constexpr auto removedProbeInterval = std::chrono::seconds(5);
+
+} // namespace
+
+void membership::tickProbe(base::time_point now)
+{
+    std::erase_if(m_relays, [&](const relay& pending) { return pending.until <= now; });
+    if (m_probe.active && !m_probe.answered && !m_probe.indirect
+        && now - m_probe.started >= m_options.probeTimeout) {
+        m_probe.indirect = true;
+        for (const auto& id : randomMembers(m_options.indirectProbes, m_probe.target))
+            send(id,
+                { .type = message_type::PingRequest,
+                    .sequence = m_probe.sequence,
+                    .subject = m_probe.target });
+    }
+    if (now >= m_nextProbe) {
+        m_nextProbe = std::max(m_nextProbe + m_options.probeInterval, now);
+        endProbe(now);
+        startProbe(now);
+    }
+    if (now >= m_nextRemovedProbe) {
+        m_nextRemovedProbe = now + removedProbeInterval;
+        probeRemoved();
+    }
+}
+
+void membership::startProbe(base::time_point now)
+{
+    const std::string target = nextTarget();
+    if (target.empty())
+        return;
+    m_probe = { .sequence = ++m_sequence, .target = target, .started = now, .active = true };
+    send(target, { .type = message_type::Ping, .sequence = m_probe.sequence });
+}
+
+void membership::endProbe(base::time_point now)
+{
+    if (!m_probe.active)
+        return;
+    m_probe.active = false;
+    m_probeResults.push_back(m_probe.answered);
+    if (m_probeResults.size() > probeResultsKept)
+        m_probeResults.pop_front();
+    if (!m_probe.answered)
+        suspect(m_probe.target, now);
+}
+
+/// Members are probed in a shuffled round, so that each is probed within one round for certain.
+std::string membership::nextTarget()
+{
+    while (!m_probeFirst.empty()) {
+        const std::string id = m_probeFirst.back();
+        m_probeFirst.pop_back();
+        if (const auto* known = m_table.find(id); known && known->info.state != member_state::Dead)
+            return id;
+    }
+    for (int round = 0; round < 2; ++round) {
+        while (!m_probeOrder.empty()) {
+            const std::string id = m_probeOrder.back();
+            m_probeOrder.pop_back();
+            const auto* known = m_table.find(id);
+            if (known && known->info.state != member_state::Dead)
+                return id;
+        }
+        for (const auto& [id, known] : m_table.all())
+            if (id != m_self.id && known.info.failureDomain == m_self.failureDomain
+                && known.info.state != member_state::Dead)
+                m_probeOrder.push_back(id);
+        for (std::size_t i = m_probeOrder.size(); i > 1; --i)
+            std::swap(m_probeOrder[i - 1], m_probeOrder[m_random.below(i)]);
+    }
+    return {};
+}
+
+/// After a partition, two sides that removed each other only meet again when one of them asks.
+void membership::probeRemoved()
+{
+    std::vector<const std::string*> removed;
+    for (const auto& [id, known] : m_table.all())
+        if (known.info.failureDomain == m_self.failureDomain && known.info.state == member_state::Dead)
+            removed.push_back(&id);
+    if (!removed.empty())
+        send(*removed[m_random.below(removed.size())],
+            { .type = message_type::Ping, .sequence = ++m_sequence });
+}
+
+std::vector<std::string> membership::randomMembers(std::size_t count, const std::string& except)
+{
+    std::vector<std::string> out;
+    if (count == 0)
+        return out;
+    auto live = m_table.liveIn(m_self.failureDomain);
+    std::erase_if(live, [&](const tracked_member* known) {
+        return known->info.id == m_self.id || known->info.id == except
+            || known->info.state == member_state::Unreachable;
+    });
+    for (std::size_t i = 0; i < std::min(count, live.size()); ++i) {
+        std::swap(live[i], live[i + m_random.below(live.size() - i)]);
+        out.push_back(live[i]->info.id);
+    }
+    return out;
+}
+
+void membership::handlePing(const membership_message& message)
+{
+    send(message.sender.id, { .type = message_type::Ack, .sequence = message.sequence });
+}
+
+void membership::handleAck(const membership_message& message)
+{
+    if (m_probe.active && message.sequence == m_probe.sequence) {
+        m_probe.answered = true;
+        return;
+    }
+    const auto pending = std::find_if(m_relays.begin(), m_relays.end(),
+        [&](const relay& known) { return known.sequence == message.sequence; });
+    if (pending == m_relays.end())
+        return;
+    const relay answered = *pending;
+    m_relays.erase(pending);
+    send(answered.requester, { .type = message_type::Ack, .sequence = answered.originalSequence });
+}
+
+void membership::handlePingRequest(const membership_message& message)
+{
+    constexpr std::size_t maxRelays = 64;
+    if (message.subject.empty() || m_relays.size() >= maxRelays || !m_table.find(message.subject))
+        return;
+    m_relays.push_back({ .sequence = ++m_sequence,
+        .originalSequence = message.sequence,
+        .requester = message.sender.id,
+        .until = m_clock.now() + m_options.probeInterval });
+    send(message.subject, { .type = message_type::Ping, .sequence = m_sequence });
+}
+
+void membership::suspect(const std::string& id, base::time_point now)
+{
+    auto* known = m_table.find(id);
+    if (!known)
+        return;
+    // A leaving member ends without refuting; it is removed as soon as it stops answering.
+    const bool leaving = known->info.state == member_state::Leaving;
+    if (!leaving && known->info.state != member_state::Alive)
+        return;
+    m_table.setState(id, leaving ? member_state::Dead : member_state::Suspect, now);
+    known->suspectUntil = now + suspicionTimeout();
+    m_queue.push(id, true);
+    m_log.write(leaving ? events::memberRemoved : events::memberSuspect, { { "member", id } });
+    stateChanged(id, true);
+}
+
+base::duration membership::suspicionTimeout() const
+{
+    const auto members = m_table.liveIn(m_self.failureDomain).size();
+    const double factor = std::max(1.0, std::log10(static_cast<double>(members)));
+    return base::duration(
+        static_cast<std::int64_t>(factor * static_cast<double>(m_options.suspicion.count())));
+}
+
+/// Removals stop while more than half of the domain is suspect, or while most of the own probes fail: then
+/// the network of this process is the likelier cause.
+bool membership::isRemovalHeld() const
+{
+    std::size_t others = 0;
+    std::size_t doubted = 0;
+    for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
+        if (known->info.id == m_self.id)
+            continue;
+        ++others;
+        doubted += known->info.state != member_state::Alive ? 1 : 0;
+    }
+    const auto failed
+        = static_cast<std::size_t>(std::count(m_probeResults.begin(), m_probeResults.end(), false));
+    const bool probesFail = m_probeResults.size() >= fewestResults && 2 * failed > m_probeResults.size();
+    return 2 * doubted > others || probesFail;
+}
+
+void membership::tickSuspects(base::time_point now)
+{
+    if (now < m_nextSuspectScan)
+        return;
+    m_nextSuspectScan = now + suspectScanInterval;
+    m_exchange.updateOwnSummary(m_self.configVersion);
+    for (const auto& name : m_exchange.checkReachability())
+        m_log.write(events::domainUnreachable, { { "domain", name } });
+    const bool held = isRemovalHeld();
+    std::vector<std::string> changed;
+    for (auto& [id, known] : m_table.all()) {
+        if (known.info.failureDomain != m_self.failureDomain)
+            continue;
+        if (known.info.state == member_state::Suspect && known.suspectUntil <= now)
+            changed.push_back(id);
+        else if (known.info.state == member_state::Unreachable && !held)
+            changed.push_back(id);
+    }
+    for (const auto& id : changed) {
+        auto& known = *m_table.find(id);
+        if (known.info.state == member_state::Unreachable) {
+            m_table.setState(id, member_state::Suspect, now);
+            known.suspectUntil = now + suspicionTimeout();
+        } else {
+            m_table.setState(id, held ? member_state::Unreachable : member_state::Dead, now);
+            m_queue.push(id, true);
+            m_log.write(held ? events::memberUnreachable : events::memberRemoved, { { "member", id } });
+        }
+        stateChanged(id, true);
+    }
+    m_table.forgetRemoved(now - m_options.tombstones);
+}
+
+} // namespace marigold::control
--- /dev/null
+++ b/src/libs/control/rollout.cpp
@@ -0,0 +1,80 @@
+#include "rollout.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::control {
+
+bool maySwapNow(const std::string& self, const std::string& model, const std::vector<rollout_target>& targets,
+    double floor)
+{
+    const auto own = std::find_if(
+        targets.begin(), targets.end(), [&](const rollout_target& value) { return value.id == self; });
+    if (own == targets.end() || own->done)
+        return false;
+    if (!own->inService)
+        return true; // It carries no load.
+    std::size_t whole = 0;
+    std::size_t unavailable = 0;
+    std::size_t before = 0;
+    const auto ownScore = base::rendezvousScore(model, self);
+    for (const auto& value : targets) {
+        if (!value.inService)
+            continue;
+        ++whole;
+        if (value.id == self)
+            continue;
+        const auto score = base::rendezvousScore(model, value.id);
+        const bool earlier = score != ownScore ? score > ownScore : value.id < self;
+        // One that swaps admits no runs, so that it counts once: as unavailable.
+        if (!value.available)
+            ++unavailable;
+        else if (!value.done && earlier)
+            ++before;
+    }
+    const auto keep = static_cast<std::size_t>(std::ceil(floor * static_cast<double>(whole)));
+    return before + unavailable + keep < whole;
+}
+
+bool rollout::maySwap(const config_content& content, const std::string& self, const membership& members)
+{
+    const auto target = content.targets.find(self);
+    if (target == content.targets.end() || target->second.kind != target_kind::Engine)
+        return false;
+    const auto model = content.models.find(target->second.model);
+    if (model == content.models.end())
+        return false;
+    if (m_wanted != model->second.wantedVersion) {
+        m_wanted = model->second.wantedVersion;
+        m_since = m_clock.now();
+    }
+    if (m_clock.now() - m_since < m_options.settle)
+        return false;
+    return maySwapNow(self, model->first, targetsOf(content, model->first, members), content.capacityFloor);
+}
+
+std::vector<rollout_target> rollout::targetsOf(
+    const config_content& content, const std::string& model, const membership& members) const
+{
+    const auto found = content.models.find(model);
+    if (found == content.models.end())
+        return {};
+    const auto tag = weightTag(found->second.wantedVersion);
+    std::vector<rollout_target> out;
+    for (const auto& [id, value] : content.targets) {
+        if (value.kind != target_kind::Engine || value.model != model)
+            continue;
+        const auto* known = members.table().find(value.address);
+        const bool alive = known && members.stateOf(value.address) == member_state::Alive;
+        out.push_back({
+            .id = id,
+            .inService = content.isInService(value, id),
+            .available = alive && known->info.load.bound > 0,
+            .done
+            = known && known->info.load.weights == tag && known->info.load.rampStep >= m_options.fullRampStep,
+        });
+    }
+    return out;
+}
+
+} // namespace marigold::control
--- /dev/null
+++ b/src/libs/control/update_queue.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "member.h"
+
+#include <string>
+#include <vector>
+
+namespace marigold::control {
+
+/// Members whose records are piggybacked on the next messages, least often sent first (SWIM, section 4.1).
+///
+/// Changes of state go before changes of load. The queue keeps names alone, so that the newest record is
+/// sent.
+class update_queue {
+public:
+    /// Queues the record of \a id. \a urgent: its state changed, not its load alone.
+    void push(const std::string& id, bool urgent);
+
+    /// Takes up to \a most ids for one message; each is dropped once it has been sent often enough for
+    /// \a members processes. At most half of a message is load changes.
+    std::vector<std::string> take(std::size_t most, std::size_t members);
+
+    bool empty() const { return m_items.empty(); }
+    std::size_t size() const { return m_items.size(); }
+
+private:
+    struct item {
+        std::string id;
+        bool urgent = false;
+        unsigned sent = 0;
+        std::uint64_t order = 0;
+    };
+
+    std::vector<item> m_items;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace marigold::control
