--- /dev/null
+++ b/src/libs/operate/refusal_log.cpp
@@ -0,0 +1,19 @@
+#include "refusal_log.h"
+
+#include <string>
+
+namespace marigold::operate {
+
+void refusal_log::add(std::string_view detail)
+{
+    ++m_total;
+    const base::time_point now = m_clock.now();
+    if (!m_log || (m_lastLine && now - *m_lastLine < m_interval))
+        return;
+    m_log->write(
+        m_event, { { "count", std::to_string(m_total - m_logged) }, { "detail", std::string(detail) } });
+    m_lastLine = now;
+    m_logged = m_total;
+}
+
+} // namespace marigold::operate
