--- /dev/null
+++ b/tests/libs/control/config_test.cpp
@@ -0,0 +1,217 @@
+#include "sample_config.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <rapidcheck.h>
+
+using namespace marigold;
+using namespace marigold::control;
+using marigold::testing::sampleDocument;
+
+namespace {
+
+base::result<config_effect> tryMerge(std::string body)
+{
+    const config_state current { .version = 5, .document = sampleDocument() };
+    return dryRun(current, { .baseVersion = 5, .kind = patch_kind::MergePatch, .body = std::move(body) });
+}
+
+base::result<config_effect> tryPatch(std::string body)
+{
+    const config_state current { .version = 5, .document = sampleDocument() };
+    return dryRun(current, { .baseVersion = 5, .kind = patch_kind::JsonPatch, .body = std::move(body) });
+}
+
+struct fault {
+    std::string body;
+    std::string field;
+};
+
+} // namespace
+
+TEST_CASE("a broken document is refused with the path of the field")
+{
+    // Guards against a typing error that an operator cannot find, or that is silently ignored.
+    const std::vector<fault> faults {
+        { R"({"teams":{"x":{"block_secret":"s"}}})", "/teams/x/key_hashes" },
+        { R"({"teams":{"x":{"key_hashes":["zz"],"block_secret":"s"}}})", "/teams/x/key_hashes/0" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":""}}})", "/teams/x/block_secret" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","weight":0}}})", "/teams/x/weight" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","weight":"3"}}})", "/teams/x/weight" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","limits":{"requests_per_second":0}}}})",
+            "/teams/x/limits/requests_per_second" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","limits":{"concurrent_requests":0}}}})",
+            "/teams/x/limits/concurrent_requests" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","limits":{"tokens_per_second":-1}}}})",
+            "/teams/x/limits/tokens_per_second" },
+        { R"({"teams":{"x":{"key_hashes":[],"block_secret":"s","colour":1}}})", "/teams/x/colour" },
+        { R"({"teams":[]})", "/teams" },
+        { R"({"models":{"m":{"version":"v","policy":"fastest"}}})", "/models/m/policy" },
+        { R"({"models":{"m":{"version":7}}})", "/models/m/version" },
+        { R"({"services":{"s":{"idempotent":[1]}}})", "/services/s/idempotent/0" },
+        { R"({"failure_domains":{"a/b":{"in_service":1}}})", "/failure_domains/a~1b/in_service" },
+        { R"({"targets":{"t":{"address":"a","failure_domain":"d","region":"r","kind":"gpu"}}})",
+            "/targets/t/kind" },
+        { R"({"targets":{"t":{"address":"a","failure_domain":"d","region":"r","kind":"engine"}}})",
+            "/targets/t/model" },
+        { R"({"operators":{"o":{"key_hash":"1","rights":[]}}})", "/operators/o/key_hash" },
+        { R"({"operators":{"o":{"key_hash":")" + std::string(64, 'a') + R"(","rights":["root"]}}})",
+            "/operators/o/rights/0" },
+        { R"({"weight_stores":{"w":{"concurrent_loads":0}}})", "/weight_stores/w/concurrent_loads" },
+        { R"({"drained_targets":{"t":1}})", "/drained_targets/t" },
+        { R"({"capacity_floor":1.5})", "/capacity_floor" },
+        { R"({"capacity":1})", "/capacity" },
+    };
+    for (const auto& [body, field] : faults) {
+        CAPTURE(body);
+        const auto parsed = config_document::parse(body);
+        REQUIRE(!parsed);
+        CHECK(parsed.error().field == field);
+    }
+    for (const char* text : { "", "[]", "null", "{", R"({"teams":{},"teams":{}})", "{\"a\":\"\xff\"}" })
+        CHECK(!config_document::parse(text));
+    CHECK(!config_document::parse(std::string(100000, '[')));
+    CHECK(!config_document::parse(std::string(maxDocumentBytes + 1, ' ')));
+}
+
+TEST_CASE("a document is read as it was written")
+{
+    // Guards against a field that is parsed into another one or not at all.
+    const auto content = sampleDocument().content();
+    CHECK(content.teams.at("big").weight == 3);
+    CHECK(content.teams.at("big").limits.requestsPerSecond == 50);
+    CHECK(!content.teams.at("big").limits.tokensPerSecond);
+    CHECK(content.models.at("m").wantedVersion == "v1");
+    CHECK(content.models.at("m").adapters.at("a").team == "big");
+    CHECK(content.services.at("orders").idempotent == std::vector<std::string> { "status" });
+    CHECK(content.targets.at("t1").failureDomain == "hall-alta");
+    CHECK(content.targets.at("s0").kind == target_kind::Store);
+    CHECK(content.operators.at("op").mayChange);
+    CHECK(!content.operators.at("op").mayEndanger);
+    CHECK(content.weightStores.at("w").concurrentLoads == 3);
+    CHECK(content.isInService(content.targets.at("t1"), "t1"));
+    CHECK(config_document::parse(sampleDocument().text())->digest() == sampleDocument().digest());
+}
+
+TEST_CASE("a change that would break the fleet is refused with the path")
+{
+    // Guards against an outage by one operator command.
+    const std::vector<fault> merges {
+        { R"({"failure_domains":{"hall-bodo":{"in_service":false},"hall-alta":{"in_service":false}}})",
+            "/failure_domains/hall-bodo/in_service" },
+        { R"({"teams":{"bgi":{"weight":2}}})", "/teams/bgi" },
+        { R"({"teams":{"nobody":null}})", "/teams/nobody" },
+        { R"({"teams":{"big":null}})", "/models/m/adapters/a/team" },
+        { R"({"teams":{"big":{"limits":{"requests_per_second":0}}}})",
+            "/teams/big/limits/requests_per_second" },
+        { R"({"weight_stores":{"w":{"concurrent_loads":0}}})", "/weight_stores/w/concurrent_loads" },
+        { R"({"models":{"m":null}})", "/models/m" },
+        { R"({"models":null})", "/models/m" },
+        { R"({"services":{"orders":null}})", "/services/orders" },
+        { R"({"failure_domains":{"hall-alta":null}})", "/targets/t1/failure_domain" },
+        { R"({"targets":{"t1":{"model":"other"}}})", "/targets/t1/model" },
+        { R"({"targets":{"t1":{"address":"10.0.0.0:7400"}}})", "/targets/t1/address" },
+        { R"({"drained_targets":{"t9":true}})", "/drained_targets/t9" },
+        { R"({"drained_targets":{"t0":true,"t1":true,"t2":true}})", "/drained_targets/t0" },
+        { R"({"capacity_floor":1,"models":{"m":{"wanted_version":"v2"}}})", "/models/m/wanted_version" },
+        { R"({"drained_targets":{"t0":true,"t1":true},"models":{"m":{"wanted_version":"v2"}}})",
+            "/models/m/wanted_version" },
+    };
+    for (const auto& [body, field] : merges) {
+        CAPTURE(body);
+        const auto effect = tryMerge(body);
+        REQUIRE(!effect);
+        CHECK(effect.error().verdict == base::verdict::NotRun);
+        CHECK(effect.error().field == field);
+    }
+    CHECK(tryMerge(R"({"failure_domains":{"hall-bodo":{"in_service":false}}})"));
+    CHECK(tryMerge(R"({"drained_targets":{"t0":true,"t1":true}})"));
+    CHECK(tryMerge(R"({"models":{"m":{"wanted_version":"v2"}}})"));
+}
+
+TEST_CASE("a broken JSON Patch is refused with the path of its operation")
+{
+    // Guards against an assertion in the JSON library, and against patches that apply in part.
+    const std::vector<fault> faults {
+        { R"([{"op":"replace","path":"/teams/none/weight","value":2}])", "/teams/none/weight" },
+        { R"([{"op":"add","path":"/capacity_floor/x","value":2}])", "/capacity_floor/x" },
+        { R"([{"op":"add","path":"/teams/big/key_hashes/9","value":"x"}])", "/teams/big/key_hashes/9" },
+        { R"([{"op":"test","path":"/capacity_floor","value":0.9}])", "/capacity_floor" },
+        { R"([{"op":"remove","path":""}])", "" },
+        { R"([{"op":"move","from":"/none","path":"/x"}])", "/x" },
+        { R"([{"op":"explode","path":"/teams"}])", "/teams" },
+        { R"([{"op":"add","path":"teams","value":{}}])", "teams" },
+        { R"([7])", "/0" },
+    };
+    for (const auto& [body, field] : faults) {
+        CAPTURE(body);
+        const auto effect = tryPatch(body);
+        REQUIRE(!effect);
+        CHECK(effect.error().field == field);
+    }
+    CHECK(!tryPatch("{}"));
+    CHECK(!tryMerge("[]"));
+}
+
+TEST_CASE("a dry run names the changed paths, and a conflict both versions")
+{
+    // Guards against a preview that hides a change, and a conflict message that does not say what to do.
+    const auto effect = tryPatch(R"([{"op":"replace","path":"/teams/big/weight","value":4},
+        {"op":"add","path":"/failure_domains/hall-tromso","value":{}}])");
+    REQUIRE(effect);
+    CHECK(effect->changedPaths
+        == std::vector<std::string> { "/failure_domains/hall-tromso", "/teams/big/weight" });
+    const auto conflict
+        = dryRun({ .version = 9, .document = sampleDocument() }, { .baseVersion = 7, .body = "[]" });
+    REQUIRE(!conflict);
+    CHECK(conflict.error().reason == base::error_reason::Conflict);
+    CHECK(conflict.error().message.find("version 7") != std::string::npos);
+    CHECK(conflict.error().message.find("version is 9") != std::string::npos);
+}
+
+TEST_CASE("an accepted change can be undone exactly")
+{
+    // Guards against a rollback that leads to another document than the one asked for.
+    CHECK(rc::check("inverse", [] {
+        const config_state current { .version = 5, .document = sampleDocument() };
+        const std::string weight = std::to_string(*rc::gen::inRange(1, 1000));
+        const std::string body = *rc::gen::elementOf(std::vector<std::string> {
+            R"({"teams":{"big":{"weight":)" + weight + "}}}",
+            R"({"teams":{"big":{"key_hashes":null,"weight":)" + weight + "}}}",
+            R"({"teams":{"new~/x":{"key_hashes":[],"block_secret":"é","weight":)" + weight + "}}}",
+            R"({"targets":{"t2":null,"s0":{"region":"r)" + weight + R"("}}})",
+            R"({"models":{"m":{"wanted_version":"v)" + weight + R"(","adapters":null}}})",
+        });
+        const auto effect = tryMerge(body);
+        if (!effect)
+            RC_DISCARD("refused");
+        const auto back = applyPatch(effect->document, patch_kind::JsonPatch, effect->inverse);
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back->digest() == current.document.digest());
+        const auto again = applyPatch(
+            current.document, patch_kind::JsonPatch, patchBetween(current.document, effect->document));
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(again->digest() == effect->document.digest());
+    }));
+}
+
+TEST_CASE("random and damaged bytes are refused without harm")
+{
+    // Guards against a crash or a half-read record after damage on the way.
+    config_patch patch { .version = 3, .changeId = "3-x", .author = "op", .body = "[]", .inverse = "[]" };
+    const std::string whole = patch.encode();
+    REQUIRE(config_patch::decode(whole)->encode() == whole);
+    CHECK(rc::check("decoders", [&](const std::string& noise) {
+        std::string damaged = whole;
+        damaged[*rc::gen::inRange<std::size_t>(0, damaged.size())] = *rc::gen::arbitrary<char>();
+        if (const auto decoded = config_patch::decode(damaged))
+            RC_ASSERT(config_patch::decode(decoded->encode()).has_value());
+        RC_ASSERT(!config_patch::decode(whole.substr(0, *rc::gen::inRange<std::size_t>(0, whole.size()))));
+        RC_ASSERT(!config_patch::decode(noise));
+        RC_ASSERT(!pull_answer::decode(noise));
+        RC_ASSERT(!config_document::parse(noise));
+        RC_ASSERT(!tryPatch(noise).has_value());
+    }));
+}
--- /dev/null
+++ b/tests/libs/control/message_codec_test.cpp
@@ -0,0 +1,107 @@
+#include <control/control.h>
+
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+
+using namespace marigold;
+using namespace marigold::control;
+
+namespace {
+
+std::string anyName()
+{
+    return *rc::gen::container<std::string>(
+        *rc::gen::inRange<std::size_t>(1, 20), rc::gen::inRange<char>('!', '~'));
+}
+
+member anyMember()
+{
+    return { .id = anyName(),
+        .failureDomain = anyName(),
+        .region = anyName(),
+        .kind = *rc::gen::element(member_kind::Entry, member_kind::Agent),
+        .incarnation = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62),
+        .state = static_cast<member_state>(*rc::gen::inRange(0, 5)),
+        .configVersion = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 40),
+        .load = { .running = *rc::gen::arbitrary<std::uint16_t>(),
+            .queued = *rc::gen::arbitrary<std::uint16_t>(),
+            .bound = *rc::gen::arbitrary<std::uint16_t>(),
+            .rampStep = *rc::gen::arbitrary<std::uint8_t>(),
+            .weights = *rc::gen::arbitrary<std::uint16_t>() },
+        .loadSequence = *rc::gen::arbitrary<std::uint32_t>() };
+}
+
+membership_message anyMessage()
+{
+    membership_message message { .type = static_cast<message_type>(*rc::gen::inRange(0, 8)),
+        .sequence = *rc::gen::arbitrary<std::uint32_t>(),
+        .sender = anyMember(),
+        .subject = *rc::gen::arbitrary<bool>() ? anyName() : "",
+        .upTo = *rc::gen::inRange<std::uint64_t>(0, 1ULL << 62) };
+    for (int i = *rc::gen::inRange(0, 9); i > 0; --i)
+        message.updates.push_back(anyMember());
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i)
+        message.domains.push_back({ .name = anyName(), .stamp = 4, .reachable = i % 2 == 0 });
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i)
+        message.hashes.push_back({ .name = anyName(), .hash = *rc::gen::arbitrary<std::uint64_t>() });
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("a message survives its encoding")
+{
+    // Guards against fields that change on the way to another process.
+    CHECK(rc::check("round trip", [] {
+        const auto message = anyMessage();
+        const auto bytes = encode(message);
+        RC_PRE(bytes.size() <= maxDatagramBytes);
+        const auto decoded = decodeMessage(bytes);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(encode(*decoded) == bytes);
+        RC_ASSERT(decoded->sender.id == message.sender.id);
+        RC_ASSERT(decoded->sender.load == message.sender.load);
+        RC_ASSERT(decoded->sender.loadSequence == message.sender.loadSequence);
+        RC_ASSERT(decoded->updates.size() == message.updates.size());
+        for (std::size_t i = 0; i < message.updates.size(); ++i) {
+            RC_ASSERT(decoded->updates[i].incarnation == message.updates[i].incarnation);
+            RC_ASSERT(decoded->updates[i].state == message.updates[i].state);
+            RC_ASSERT(decoded->updates[i].kind == message.updates[i].kind);
+            RC_ASSERT(decoded->updates[i].failureDomain == message.updates[i].failureDomain);
+        }
+    }));
+}
+
+TEST_CASE("damaged and random datagrams are refused without harm")
+{
+    // Guards against a crash, endless work or a table entry out of bytes that no process sent.
+    CHECK(rc::check("decode", [](const std::string& noise) {
+        RC_ASSERT(!decodeMessage(noise));
+        auto bytes = encode(anyMessage());
+        RC_ASSERT(!decodeMessage(bytes.substr(0, *rc::gen::inRange<std::size_t>(0, bytes.size()))));
+        RC_ASSERT(!decodeMessage(bytes + 'x'));
+        for (int i = 0; i < 20; ++i) {
+            auto damaged = bytes;
+            damaged[*rc::gen::inRange<std::size_t>(0, damaged.size())] = *rc::gen::arbitrary<char>();
+            if (const auto decoded = decodeMessage(damaged))
+                RC_ASSERT(decodeMessage(encode(*decoded)).has_value());
+        }
+    }));
+    CHECK(!decodeMessage(std::string(maxDatagramBytes, '\x91')));
+    CHECK(!decodeMessage(std::string("\xdd\xff\xff\xff\xff", 5)));
+    CHECK(!decodeMessage(std::string("\xc6\xff\xff\xff\xff", 5)));
+}
+
+TEST_CASE("a datagram under another key is refused")
+{
+    // Guards against a table that a process outside the fleet can write.
+    CHECK(rc::check("authentication", [](const std::string& bytes, const std::string& key) {
+        const hmac_authenticator own(key);
+        const hmac_authenticator other(key + "x");
+        RC_ASSERT(own.verify(bytes, own.sign(bytes)));
+        RC_ASSERT(!own.verify(bytes, other.sign(bytes)));
+        RC_ASSERT(!own.verify(bytes + 'x', own.sign(bytes)));
+        RC_ASSERT(!own.verify(bytes, own.sign(bytes).substr(1)));
+    }));
+}
