Measure routing decisions and returns after gaps

bench/routing sends both users' returns through the router, admission and a fake engine with a prefix cache, beside six baselines. One of two store links runs at 15% of its speed for 300 s.

--- /dev/null
+++ b/bench/routing.cpp
@@ -0,0 +1,417 @@
+/// \brief Share of context recomputed, time to first token and bytes moved, for returns after gaps.
+
+#include "support/fake_target.h"
+#include "support/measure.h"
+#include "support/return_workload.h"
+
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+using namespace marigold;
+using namespace marigold::bench;
+using namespace marigold::routing;
+
+namespace {
+
+enum class plan { Ours, RoundRobin, LeastLoad, PrefixAffinity, AlwaysRecompute, AlwaysLoad, Oracle };
+
+constexpr std::array<std::string_view, 7> planNames { "ours", "round_robin", "least_load", "prefix_affinity",
+    "always_recompute", "always_load", "oracle" };
+
+constexpr double slowLinkSeconds = 300; // one of the two links, in the middle of the run
+constexpr double slowLinkShare = 0.15; // of its speed
+
+/// Weights of resource time in the score of the oracle. The best run counts as the oracle, since a request
+/// that takes the soonest way may still delay others.
+constexpr std::array<double, 3> oracleWeights { 0.5, 1, 3 };
+
+struct outcome {
+    std::vector<double> firstToken; ///< Seconds, of requests that are not drafts.
+    double prefixTokens = 0;
+    double recomputedTokens = 0;
+    double bytes = 0;
+    double linkBusySeconds = 0;
+    int shed = 0;
+    int requests = 0;
+
+    double recomputedShare() const { return recomputedTokens / std::max(prefixTokens, 1.0); }
+    double ttft(double share) const { return percentile(firstToken, share); }
+};
+
+/// What one entry knows.
+struct entry_state {
+    entry_state(const target_table::options& place, std::uint64_t seed)
+        : table(place)
+        , random(seed)
+    {
+    }
+
+    target_table table;
+    base::random_source random;
+    router subject { table, random, {} };
+    std::unordered_map<std::uint64_t, prefix_hint> hints; ///< Small enough to need no eviction here.
+    std::array<base::time_point, stores> linkFreeAt {}; ///< As of the last report.
+};
+
+/// One run of the arrival list under one plan.
+class experiment {
+public:
+    experiment(const user_shape& shape, plan chosen, std::uint64_t seed, double oracleWeight = 0)
+        : m_shape(shape)
+        , m_plan(chosen)
+        , m_oracleWeight(oracleWeight)
+    {
+        for (int e = 0; e < shape.entries; ++e)
+            m_entries.push_back(std::make_unique<entry_state>(
+                target_table::options { .failureDomain = domainName(e), .region = "r" },
+                seed + 1 + static_cast<std::uint64_t>(e)));
+        for (int t = 0; t < shape.targets; ++t) {
+            m_targets.push_back(std::make_unique<fake_target>(m_time, m_timers,
+                fake_target::options {
+                    .firstToken = [this, t](const fake_request& r, int again) { onFirstToken(t, r, again); },
+                    .ended = [this](const fake_request& r) { onEnd(r); },
+                    .shed = [this](const fake_request& r) { onShed(r); } }));
+            for (const auto& entry : m_entries)
+                entry->table.put(
+                    { .id = std::to_string(t), .failureDomain = domainName(t), .region = "r", .model = "m" });
+        }
+    }
+
+    outcome run(std::span<const arrival> arrivals, double warmUpSeconds)
+    {
+        m_measureFrom = m_time.now() + toDuration(warmUpSeconds);
+        const base::time_point begin = m_time.now();
+        m_slowFrom = begin + toDuration(2 * warmUpSeconds);
+        m_slowUntil = m_slowFrom + toDuration(slowLinkSeconds);
+        report();
+        for (const arrival& next : arrivals) {
+            m_timers.advance(begin + toDuration(next.seconds) - m_time.now());
+            arrive(next);
+        }
+        m_stopped = true;
+        m_timers.advance(base::duration(600'000'000));
+        return m_out;
+    }
+
+private:
+    struct open_request {
+        arrival source;
+        base::time_point arrivedAt;
+        choice_ticket ticket;
+    };
+
+    static std::string domainNameOf(int number) { return "d" + std::to_string(number); }
+    std::string domainName(int number) const { return domainNameOf(number % m_shape.domains); }
+    static base::duration toDuration(double seconds)
+    {
+        return base::duration(static_cast<std::int64_t>(seconds * 1e6));
+    }
+    static std::size_t storeOf(std::uint64_t session) { return (session >> 7) % stores; }
+
+    /// Every target and link reports to every entry once a second.
+    void report()
+    {
+        if (m_stopped)
+            return;
+        for (const auto& entry : m_entries) {
+            for (target_index t = 0; t < m_targets.size(); ++t)
+                entry->table.report(t, m_targets[t]->report(), m_time.now());
+            entry->linkFreeAt = m_linkFreeAt;
+        }
+        m_timers.runAfter(base::duration(1'000'000), [this] { report(); });
+    }
+
+    int keptTokens(std::uint64_t session) const
+    {
+        const auto found = m_kept.find(session);
+        return found == m_kept.end() ? 0 : found->second.tokens;
+    }
+
+    /// Time that \a tokens occupy the link of \a store; one link is slow for a while.
+    base::duration busyTime(std::size_t store, int tokens) const
+    {
+        const bool slow = store == 0 && m_time.now() >= m_slowFrom && m_time.now() < m_slowUntil;
+        return toDuration(tokens * bytesPerToken / (m_shape.linkBytesPerSecond * (slow ? slowLinkShare : 1)));
+    }
+
+    base::duration transferTime(base::time_point linkFreeAt, std::size_t store, int tokens) const
+    {
+        return std::max(linkFreeAt - m_time.now(), base::duration::zero()) + busyTime(store, tokens);
+    }
+
+    void arrive(const arrival& next)
+    {
+        entry_state& entry = *m_entries[static_cast<std::size_t>(next.entry)];
+        std::vector<target_index> tried;
+        for (int round = 0; round < 3; ++round) {
+            for (const candidate& item : choose(entry, next, tried)) {
+                if (attempt(entry, next, item))
+                    return;
+                tried.push_back(item.target);
+            }
+        }
+        if (m_time.now() >= m_measureFrom)
+            ++m_out.shed;
+    }
+
+    std::vector<candidate> choose(
+        entry_state& entry, const arrival& next, std::span<const target_index> tried)
+    {
+        route_request request { .model = "m",
+            .goal = m_shape.goal,
+            .size = { .promptTokens = next.promptTokens, .prefixTokens = next.prefixTokens },
+            .prefixKey = next.session,
+            .tried = tried };
+        const std::size_t store = storeOf(next.session);
+        request.kept.tokens = keptTokens(next.session);
+        request.kept.transferTime
+            = transferTime(m_plan == plan::Oracle ? m_linkFreeAt[store] : entry.linkFreeAt[store], store,
+                request.kept.tokens);
+        if (m_plan == plan::Oracle)
+            return { best(request, [&](target_index t) { return exact(request, t); }) };
+        if (m_plan == plan::RoundRobin)
+            return { only(entry, request, static_cast<target_index>(m_turn++ % m_targets.size())) };
+        if (m_plan == plan::LeastLoad)
+            return { best(request, [&](target_index t) {
+                cost_estimate cost = only(entry, request, t).cost;
+                cost.score = cost.waitSeconds;
+                return cost;
+            }) };
+        if (m_plan == plan::PrefixAffinity)
+            return { best(request, [&](target_index t) {
+                cost_estimate cost = only(entry, request, t).cost;
+                cost.score = -static_cast<double>(
+                    base::rendezvousScore(std::to_string(next.session), std::to_string(t)) >> 11);
+                return cost;
+            }) };
+        const auto hint = entry.hints.find(next.session);
+        if (hint != entry.hints.end())
+            request.hints = std::span(&hint->second, 1);
+        const route_decision decision = entry.subject.route(request, m_time.now());
+        return { decision.candidates().begin(), decision.candidates().end() };
+    }
+
+    /// The candidate \a t with the cost that the entry expects there.
+    candidate only(entry_state& entry, const route_request& request, target_index t) const
+    {
+        const context_offer offer { .keptTokens = request.kept.tokens,
+            .transferTime = request.kept.transferTime };
+        const auto hint = entry.hints.find(request.prefixKey);
+        context_offer withHint = offer;
+        if (hint != entry.hints.end() && hint->second.target == t)
+            withHint.engineTokens = hint->second.tokens;
+        return { .target = t,
+            .cost = cost_model::estimate(
+                request.goal, request.size, entry.table.estimate(t, m_time.now()), withHint) };
+    }
+
+    /// The cost at \a t with full knowledge of its queue, its memory and the link.
+    cost_estimate exact(const route_request& request, target_index t) const
+    {
+        target_table table({});
+        const target_index index = table.put({ .id = "t" });
+        table.report(index, m_targets[t]->report(), m_time.now());
+        cost_estimate cost
+            = cost_model::estimate(request.goal, request.size, table.estimate(index, m_time.now()),
+                { .engineTokens = m_targets[t]->cached(request.prefixKey),
+                    .keptTokens = request.kept.tokens,
+                    .transferTime = request.kept.transferTime });
+        cost.score += m_oracleWeight * (cost.firstTokenSeconds - cost.waitSeconds);
+        return cost;
+    }
+
+    template <typename Cost> candidate best(const route_request& request, Cost costOf) const
+    {
+        candidate out;
+        for (target_index t = 0; t < m_targets.size(); ++t) {
+            if (std::ranges::find(request.tried, t) != request.tried.end())
+                continue;
+            const cost_estimate cost = costOf(t);
+            if (out.target == noTarget || cost.score < out.cost.score)
+                out = { .target = t, .cost = cost };
+        }
+        return out;
+    }
+
+    bool attempt(entry_state& entry, const arrival& next, const candidate& item)
+    {
+        fake_request request { .id = ++m_lastId,
+            .promptTokens = next.promptTokens,
+            .prefixTokens = next.prefixTokens,
+            .outputTokens = next.outputTokens,
+            .prefixKey = next.session,
+            .priority = next.draft ? priority::Batch : priority::Interactive };
+        const int kept = std::min(keptTokens(next.session), next.prefixTokens);
+        const bool load = (item.cost.action == context_action::Load && m_plan != plan::AlwaysRecompute)
+            || m_plan == plan::AlwaysLoad;
+        const std::size_t store = storeOf(next.session);
+        const int missing = std::max(kept - m_targets[item.target]->cached(next.session), 0);
+        if (load && missing > 0) {
+            request.loadedTokens = kept;
+            request.loadedAt = m_time.now() + transferTime(m_linkFreeAt[store], store, missing);
+        }
+        m_open[request.id] = { .source = next, .arrivedAt = m_time.now(), .ticket = {} };
+        if (!m_targets[item.target]->submit(request)) {
+            m_open.erase(request.id);
+            return false;
+        }
+        if (request.loadedTokens > 0) {
+            move(store, missing);
+            // The next report replaces this estimate of the link's backlog.
+            entry.linkFreeAt[store]
+                = std::max(entry.linkFreeAt[store], m_time.now()) + busyTime(store, missing);
+        }
+        m_open[request.id].ticket
+            = entry.table.recordChoice(item.target, item.cost.prefillTokens, m_time.now());
+        return true;
+    }
+
+    void move(std::size_t store, int tokens)
+    {
+        base::time_point& freeAt = m_linkFreeAt[store];
+        const base::duration busy = busyTime(store, tokens);
+        freeAt = std::max(freeAt, m_time.now()) + busy;
+        if (m_time.now() < m_measureFrom)
+            return;
+        m_out.bytes += tokens * bytesPerToken;
+        m_out.linkBusySeconds += std::chrono::duration<double>(busy).count();
+    }
+
+    void onFirstToken(int target, const fake_request& request, int recomputed)
+    {
+        const open_request& open = m_open.at(request.id);
+        entry_state& entry = *m_entries[static_cast<std::size_t>(open.source.entry)];
+        entry.hints[request.prefixKey]
+            = { .target = static_cast<target_index>(target), .tokens = request.promptTokens };
+        if (open.arrivedAt < m_measureFrom)
+            return;
+        ++m_out.requests;
+        m_out.prefixTokens += request.prefixTokens;
+        m_out.recomputedTokens += recomputed;
+        if (!open.source.draft)
+            m_out.firstToken.push_back(std::chrono::duration<double>(m_time.now() - open.arrivedAt).count());
+    }
+
+    void onEnd(const fake_request& request)
+    {
+        const open_request open = m_open.extract(request.id).mapped();
+        m_entries[static_cast<std::size_t>(open.source.entry)]->table.recordEnd(open.ticket, m_time.now());
+        keep(request.prefixKey, request.promptTokens + request.outputTokens);
+    }
+
+    void onShed(const fake_request& request)
+    {
+        const open_request open = m_open.extract(request.id).mapped();
+        m_entries[static_cast<std::size_t>(open.source.entry)]->table.recordEnd(open.ticket, m_time.now());
+        if (open.arrivedAt >= m_measureFrom)
+            ++m_out.shed;
+    }
+
+    /// The store keeps the newest chains; only the tokens that it lacks are written.
+    void keep(std::uint64_t session, int tokens)
+    {
+        kept_chain& chain = m_kept[session];
+        if (tokens <= chain.tokens)
+            return;
+        move(storeOf(session), tokens - chain.tokens);
+        m_keptTokens += tokens - chain.tokens;
+        if (chain.tokens > 0)
+            m_keptOrder.erase(chain.place);
+        m_keptOrder.push_front(session);
+        chain = { .tokens = tokens, .place = m_keptOrder.begin() };
+        while (m_keptTokens > m_shape.storeTokens) {
+            const auto oldest = m_kept.extract(m_keptOrder.back());
+            m_keptTokens -= oldest.mapped().tokens;
+            m_keptOrder.pop_back();
+        }
+    }
+
+    struct kept_chain {
+        int tokens = 0;
+        std::list<std::uint64_t>::iterator place {};
+    };
+
+    const user_shape& m_shape;
+    plan m_plan;
+    double m_oracleWeight;
+    base::manual_clock m_time;
+    base::manual_scheduler m_timers { m_time };
+    std::vector<std::unique_ptr<entry_state>> m_entries;
+    std::vector<std::unique_ptr<fake_target>> m_targets;
+    std::array<base::time_point, stores> m_linkFreeAt {};
+    std::unordered_map<std::uint64_t, kept_chain> m_kept;
+    std::list<std::uint64_t> m_keptOrder;
+    std::int64_t m_keptTokens = 0;
+    std::unordered_map<work_id, open_request> m_open;
+    work_id m_lastId = 0;
+    std::size_t m_turn = 0;
+    bool m_stopped = false;
+    base::time_point m_measureFrom {};
+    base::time_point m_slowFrom {};
+    base::time_point m_slowUntil {};
+    outcome m_out;
+};
+
+void print(std::string_view name, const outcome& o, double seconds)
+{
+    std::printf("  %-17s recomputed=%5.2f %%  ttft p50=%6.0f p95=%6.0f p99=%6.0f ms  moved=%6.0f GB  "
+                "link=%3.0f %%  shed=%d of %d\n",
+        std::string(name).c_str(), 100 * o.recomputedShare(), 1e3 * o.ttft(0.5), 1e3 * o.ttft(0.95),
+        1e3 * o.ttft(0.99), o.bytes / 1e9, 100 * o.linkBusySeconds / stores / seconds, o.shed, o.requests);
+}
+
+/// The metric that the user cares for most (design 1.1).
+double primary(const user_shape& shape, const outcome& o)
+{
+    return shape.goal == serving_goal::LeastRecomputation ? o.recomputedShare() : o.ttft(0.95);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const arguments args = parse(argc, argv);
+    const double seconds = args.isLong ? 14'400 : 3'600;
+    const double warmUp = seconds / 4;
+    bool held = true;
+    std::string line = "result:";
+    for (const user_shape& shape : users) {
+        const auto arrivals = drawArrivals(shape, seconds, args.seed);
+        std::printf("%s: %zu requests in %.0f s at %d targets, goal %s\n", std::string(shape.name).c_str(),
+            arrivals.size(), seconds, shape.targets, std::string(nameOf(shape.goal)).c_str());
+        std::array<outcome, planNames.size()> outcomes;
+        for (std::size_t p = 0; p < planNames.size(); ++p) {
+            outcomes[p] = experiment(shape, static_cast<plan>(p), args.seed).run(arrivals, warmUp);
+            if (static_cast<plan>(p) == plan::Oracle)
+                for (const double weight : oracleWeights) {
+                    outcome other = experiment(shape, plan::Oracle, args.seed, weight).run(arrivals, warmUp);
+                    if (primary(shape, other) < primary(shape, outcomes[p]))
+                        outcomes[p] = std::move(other);
+                }
+            print(planNames[p], outcomes[p], seconds - warmUp);
+        }
+        const outcome& ours = outcomes.front();
+        const outcome& oracle = outcomes.back();
+        const bool byShare = shape.goal == serving_goal::LeastRecomputation;
+        const double ratio = primary(shape, ours) / primary(shape, oracle);
+        held &= promise(ratio <= 1.1,
+            byShare ? "share recomputed within 10% of the oracle"
+                    : "time to first token p95 within 10% of the oracle");
+        const std::string name(shape.name);
+        line += " " + name + "_recomputed_percent=" + std::to_string(100 * ours.recomputedShare());
+        line += " " + name + "_ttft_p50_ms=" + std::to_string(1e3 * ours.ttft(0.5));
+        line += " " + name + "_ttft_p95_ms=" + std::to_string(1e3 * ours.ttft(0.95));
+        line += " " + name + "_moved_gb=" + std::to_string(ours.bytes / 1e9);
+        line += " " + name + "_to_oracle_ratio=" + std::to_string(ratio);
+    }
+    std::printf("%s\n", line.c_str());
+    return held ? 0 : 1;
+}
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -196,9 +196,14 @@
             ? 2
             : 1;
     };
-    std::ranges::stable_sort(pool.all(), [&](const candidate& a, const candidate& b) {
+    // Insertion keeps the order of equals, which is random, and needs no heap memory as std::stable_sort
+    // does.
+    const auto precedes = [&](const candidate& a, const candidate& b) {
         return std::pair(rank(a), a.cost.score) < std::pair(rank(b), b.cost.score);
-    });
+    };
+    const auto items = pool.all();
+    for (auto next = items.begin(); next != items.end(); ++next)
+        std::rotate(std::upper_bound(items.begin(), next, *next, precedes), next, next + 1);
     route_decision out;
     out.m_count = std::min(pool.count, route_decision::capacity);
     std::copy_n(pool.items.begin(), out.m_count, out.m_items.begin());
