Discount context that an engine has evicted and presume it at its home

An entry knows the turns that it served itself, and takes every hint as true. With three entries, two thirds of the returns had no hint, and old hints named evicted context. Targets now report the age of their oldest context, and a request says how long its prefix was idle: a longer idle time voids hints, and a shorter one presumes half of the prefix at the first home.

--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -29,9 +29,21 @@
 constexpr double slowLinkSeconds = 300; // one of the two links, in the middle of the run
 constexpr double slowLinkShare = 0.15; // of its speed
 
-/// Weights of resource time in the score of the oracle. The best run counts as the oracle, since a request
-/// that takes the soonest way may still delay others.
-constexpr std::array<double, 3> oracleWeights { 0.5, 1, 3 };
+/// The oracle knows the present exactly, but not the future. Taking the soonest way for each request may
+/// delay others or scatter prefixes, so it runs with several weights, and its best run counts.
+struct oracle_weights {
+    double resourceTime = 0; ///< Added for each second of transfer and prefill.
+    double home = 0; ///< Share of the prompt's prefill time by which its home target is preferred.
+};
+
+constexpr std::array<oracle_weights, 6> oracleVariants { {
+    { .resourceTime = 0, .home = 0 },
+    { .resourceTime = 0.5, .home = 0 },
+    { .resourceTime = 1, .home = 0 },
+    { .resourceTime = 3, .home = 0 },
+    { .resourceTime = 1, .home = 0.25 },
+    { .resourceTime = 3, .home = 1 },
+} };
 
 struct outcome {
     std::vector<double> firstToken; ///< Seconds, of requests that are not drafts.
@@ -64,10 +76,10 @@
 /// One run of the arrival list under one plan.
 class experiment {
 public:
-    experiment(const user_shape& shape, plan chosen, std::uint64_t seed, double oracleWeight = 0)
+    experiment(const user_shape& shape, plan chosen, std::uint64_t seed, const oracle_weights& weights = {})
         : m_shape(shape)
         , m_plan(chosen)
-        , m_oracleWeight(oracleWeight)
+        , m_weights(weights)
     {
         for (int e = 0; e < shape.entries; ++e)
             m_entries.push_back(std::make_unique<entry_state>(
@@ -176,7 +188,8 @@
             = transferTime(m_plan == plan::Oracle ? m_linkFreeAt[store] : entry.linkFreeAt[store], store,
                 request.kept.tokens);
         if (m_plan == plan::Oracle)
-            return { best(request, [&](target_index t) { return exact(request, t); }) };
+            return { best(request,
+                [&, home = homeOf(next.session)](target_index t) { return exact(request, t, home); }) };
         if (m_plan == plan::RoundRobin)
             return { only(entry, request, static_cast<target_index>(m_turn++ % m_targets.size())) };
         if (m_plan == plan::LeastLoad)
@@ -186,19 +199,28 @@
                 return cost;
             }) };
         if (m_plan == plan::PrefixAffinity)
-            return { best(request, [&](target_index t) {
-                cost_estimate cost = only(entry, request, t).cost;
-                cost.score = -static_cast<double>(
-                    base::rendezvousScore(std::to_string(next.session), std::to_string(t)) >> 11);
-                return cost;
-            }) };
+            return { only(entry, request, homeOf(next.session)) };
         const auto hint = entry.hints.find(next.session);
         if (hint != entry.hints.end())
             request.hints = std::span(&hint->second, 1);
+        if (const auto kept = m_kept.find(next.session); kept != m_kept.end())
+            request.idleTime = m_time.now() - kept->second.usedAt;
         const route_decision decision = entry.subject.route(request, m_time.now());
         return { decision.candidates().begin(), decision.candidates().end() };
     }
 
+    target_index homeOf(std::uint64_t session) const
+    {
+        const auto scoreOf = [&](target_index t) {
+            return base::rendezvousScore(std::to_string(session), std::to_string(t));
+        };
+        target_index home = 0;
+        for (target_index t = 1; t < m_targets.size(); ++t)
+            if (scoreOf(t) > scoreOf(home))
+                home = t;
+        return home;
+    }
+
     /// The candidate \a t with the cost that the entry expects there.
     candidate only(entry_state& entry, const route_request& request, target_index t) const
     {
@@ -214,7 +236,7 @@
     }
 
     /// The cost at \a t with full knowledge of its queue, its memory and the link.
-    cost_estimate exact(const route_request& request, target_index t) const
+    cost_estimate exact(const route_request& request, target_index t, target_index home) const
     {
         target_table table({});
         const target_index index = table.put({ .id = "t" });
@@ -224,7 +246,10 @@
                 { .engineTokens = m_targets[t]->cached(request.prefixKey),
                     .keptTokens = request.kept.tokens,
                     .transferTime = request.kept.transferTime });
-        cost.score += m_oracleWeight * (cost.firstTokenSeconds - cost.waitSeconds);
+        cost.score += m_weights.resourceTime * (cost.firstTokenSeconds - cost.waitSeconds);
+        if (t == home)
+            cost.score
+                -= m_weights.home * request.size.promptTokens / cost_model::defaultPrefillTokensPerSecond;
         return cost;
     }
 
@@ -326,7 +351,7 @@
         if (chain.tokens > 0)
             m_keptOrder.erase(chain.place);
         m_keptOrder.push_front(session);
-        chain = { .tokens = tokens, .place = m_keptOrder.begin() };
+        chain = { .tokens = tokens, .usedAt = m_time.now(), .place = m_keptOrder.begin() };
         while (m_keptTokens > m_shape.storeTokens) {
             const auto oldest = m_kept.extract(m_keptOrder.back());
             m_keptTokens -= oldest.mapped().tokens;
@@ -336,12 +361,13 @@
 
     struct kept_chain {
         int tokens = 0;
+        base::time_point usedAt {};
         std::list<std::uint64_t>::iterator place {};
     };
 
     const user_shape& m_shape;
     plan m_plan;
-    double m_oracleWeight;
+    oracle_weights m_weights;
     base::manual_clock m_time;
     base::manual_scheduler m_timers { m_time };
     std::vector<std::unique_ptr<entry_state>> m_entries;
@@ -374,6 +400,18 @@
     return shape.goal == serving_goal::LeastRecomputation ? o.recomputedShare() : o.ttft(0.95);
 }
 
+outcome bestOracle(
+    const user_shape& shape, std::span<const arrival> arrivals, std::uint64_t seed, double warmUpSeconds)
+{
+    outcome best;
+    for (const oracle_weights& weights : oracleVariants) {
+        outcome next = experiment(shape, plan::Oracle, seed, weights).run(arrivals, warmUpSeconds);
+        if (best.requests == 0 || primary(shape, next) < primary(shape, best))
+            best = std::move(next);
+    }
+    return best;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -389,13 +427,11 @@
             arrivals.size(), seconds, shape.targets, std::string(nameOf(shape.goal)).c_str());
         std::array<outcome, planNames.size()> outcomes;
         for (std::size_t p = 0; p < planNames.size(); ++p) {
-            outcomes[p] = experiment(shape, static_cast<plan>(p), args.seed).run(arrivals, warmUp);
-            if (static_cast<plan>(p) == plan::Oracle)
-                for (const double weight : oracleWeights) {
-                    outcome other = experiment(shape, plan::Oracle, args.seed, weight).run(arrivals, warmUp);
-                    if (primary(shape, other) < primary(shape, outcomes[p]))
-                        outcomes[p] = std::move(other);
-                }
+            const auto chosen = static_cast<plan>(p);
+            if (chosen == plan::Oracle)
+                outcomes[p] = bestOracle(shape, arrivals, args.seed, warmUp);
+            else
+                outcomes[p] = experiment(shape, chosen, args.seed).run(arrivals, warmUp);
             print(planNames[p], outcomes[p], seconds - warmUp);
         }
         const outcome& ours = outcomes.front();
--- a/bench/support/fake_target.h
+++ b/bench/support/fake_target.h
@@ -91,7 +91,9 @@
             .slots = m_admission.bound(),
             .pendingPrefillTokens = m_admission.pendingPrefillTokens(),
             .prefillTokensPerSecond = m_options.prefillTokensPerSecond / slowness(),
-            .serviceTime = m_admission.serviceTime() };
+            .serviceTime = m_admission.serviceTime(),
+            .contextLifetime
+            = m_order.empty() ? base::duration::zero() : m_clock.now() - m_cache.at(m_order.back()).usedAt };
     }
 
     /// Empties the engine's memory and makes it cold; the ramp learns of it only when \a known.
@@ -116,6 +118,7 @@
 private:
     struct cache_entry {
         int tokens;
+        base::time_point usedAt;
         std::list<std::uint64_t>::iterator place;
     };
 
@@ -186,7 +189,7 @@
             m_order.erase(found->second.place);
         }
         m_order.push_front(key);
-        m_cache[key] = { .tokens = tokens, .place = m_order.begin() };
+        m_cache[key] = { .tokens = tokens, .usedAt = m_clock.now(), .place = m_order.begin() };
         m_cachedTokens += tokens;
         while (m_cachedTokens > m_options.cacheTokens) {
             m_cachedTokens -= m_cache.at(m_order.back()).tokens;
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -96,9 +96,10 @@
                 std::swap(first, second);
         }
     }
-    for (const place& found : { first, second })
-        if (found.index != noTarget)
-            add(pool, found.index, bit(route_reason::PrefixHome));
+    if (first.index != noTarget)
+        add(pool, first.index, bit(route_reason::PrefixHome));
+    if (second.index != noTarget)
+        add(pool, second.index, bit(route_reason::SecondHome));
 }
 
 void router::addSamples(
@@ -143,6 +144,21 @@
     pool.items[pool.count++] = { .target = target, .reasons = bit(route_reason::Probe) };
 }
 
+int router::expectedInEngine(
+    const route_request& request, const candidate& item, const load_estimate& load) const
+{
+    // Context that was idle for longer than the engine keeps any has been evicted.
+    if (load.contextLifetime > base::duration::zero() && request.idleTime > load.contextLifetime)
+        return 0;
+    int tokens = 0;
+    for (const prefix_hint& hint : request.hints)
+        if (hint.target == item.target)
+            tokens = std::max(tokens, hint.tokens);
+    if (tokens == 0 && request.idleTime > base::duration::zero() && item.has(route_reason::PrefixHome))
+        tokens = static_cast<int>(m_options.homeHitShare * request.size.prefixTokens);
+    return tokens;
+}
+
 void router::weigh(draft& pool, base::time_point now) const
 {
     const route_request& request = pool.request;
@@ -150,9 +166,7 @@
     for (candidate& item : pool.all()) {
         const load_estimate load = m_table.estimate(item.target, now);
         context_offer offer { .keptTokens = request.kept.tokens, .transferTime = request.kept.transferTime };
-        for (const prefix_hint& hint : request.hints)
-            if (hint.target == item.target)
-                offer.engineTokens = std::max(offer.engineTokens, hint.tokens);
+        offer.engineTokens = expectedInEngine(request, item, load);
         item.cost = cost_model::estimate(request.goal, request.size, load, offer);
         if (request.policy != routing_policy::Prompt)
             item.cost.score = static_cast<double>(load.outstanding) / load.slots
@@ -212,8 +226,8 @@
 
 std::string router::explain(const candidate& item) const
 {
-    constexpr std::array<std::string_view, 9> names { "prefix_hint", "prefix_home", "sampled", "fallback",
-        "same_domain", "other_region", "last_resort", "probe", "home" };
+    constexpr std::array<std::string_view, 10> names { "prefix_hint", "prefix_home", "sampled", "fallback",
+        "same_domain", "other_region", "last_resort", "probe", "home", "second_home" };
     std::string reasons;
     for (std::size_t i = 0; i < names.size(); ++i)
         if (item.reasons & (1U << i))
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -46,6 +46,8 @@
     std::uint64_t prefixKey = 0; ///< Hash of the key of the first block; 0 for none.
     std::span<const prefix_hint> hints = {};
     kept_context kept = {};
+    /// Time since the prefix was last used anywhere, as the store or the hints tell; zero if unknown.
+    base::duration idleTime { 0 };
     target_index home = noTarget; ///< For `HomeCall`.
     std::span<const target_index> tried = {}; ///< Targets that refused this request already.
 };
@@ -53,7 +55,7 @@
 /// Why a target is among the candidates; bits of `candidate::reasons`.
 enum class route_reason : std::uint16_t {
     PrefixHint = 1, ///< Its engine is known to hold the prefix.
-    PrefixHome = 2, ///< First or second by rendezvous hashing of the prefix.
+    PrefixHome = 2, ///< First by rendezvous hashing of the prefix.
     Sampled = 4,
     Fallback = 8, ///< Drawn only to be tried after a refusal.
     SameDomain = 16,
@@ -61,6 +63,7 @@
     LastResort = 64, ///< Membership cannot reach it.
     Probe = 128, ///< Ejected; this request tests whether it is healthy again.
     Home = 256,
+    SecondHome = 512, ///< Second by rendezvous hashing; takes the prefix when the first is busy.
 };
 
 struct candidate {
@@ -100,6 +103,9 @@
         /// Share of the prompt's prefill time by which a prefix home may be slower than another target; a
         /// later return of the prompt finds its prefix there.
         double homePreference = 0.25;
+        /// Share of the prefix that its first home is presumed to hold, while the prefix was idle for less
+        /// than the home keeps context; most hints are at the entry that served the last turn.
+        double homeHitShare = 0.5;
     };
 
     /// \a probes may be null; then ejected targets are never probed.
@@ -122,6 +128,8 @@
         std::uint16_t reasons);
     void addFallbacks(draft& pool, const target_group& group);
     void addProbe(draft& pool, base::time_point now);
+    int expectedInEngine(
+        const route_request& request, const candidate& item, const load_estimate& load) const;
     void weigh(draft& pool, base::time_point now) const;
 
     const target_table& m_table;
--- a/src/libs/routing/target_table.cpp
+++ b/src/libs/routing/target_table.cpp
@@ -130,6 +130,7 @@
         .slots = std::max(load.slots, 1),
         .prefillTokensPerSecond = load.prefillTokensPerSecond,
         .serviceSeconds = std::chrono::duration<double>(load.serviceTime).count(),
+        .contextLifetime = load.contextLifetime,
         .age = entry.reported ? now - entry.measuredAt : base::duration::max() };
     const int correction = static_cast<int>(entry.recent.size()) - static_cast<int>(entry.departed.size());
     out.outstanding = std::max(out.outstanding + correction, 0);
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -48,6 +48,8 @@
     std::int64_t pendingPrefillTokens = 0; ///< Tokens of admitted prompts still to be prefilled.
     double prefillTokensPerSecond = 0;
     base::duration serviceTime { 0 }; ///< Mean time that a run holds a slot.
+    /// Age of the least recently used context in the engine's memory; zero if unknown.
+    base::duration contextLifetime { 0 };
 };
 
 /// Load of a target at this moment: its report, corrected by the choices of this entry.
@@ -57,6 +59,7 @@
     double pendingPrefillTokens = 0;
     double prefillTokensPerSecond = 0;
     double serviceSeconds = 0;
+    base::duration contextLifetime { 0 };
     base::duration age { 0 }; ///< Age of the report; the maximum value when there is none.
 };
 
