--- /dev/null
+++ b/src/libs/context/block_index.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "block_key.h"
+
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+namespace marigold::context {
+
+/// Maps keys to dense slot numbers, which are reused. Open addressing with linear probing and deletion by
+/// backward shift (Knuth, TAOCP vol. 3, 6.4, algorithm R); about 24 bytes a key.
+class block_index {
+public:
+    static constexpr std::uint32_t none = std::numeric_limits<std::uint32_t>::max();
+
+    /// Returns the slot of \a key, or `none`.
+    std::uint32_t find(const block_key& key) const;
+
+    /// Adds \a key, which must be absent, and returns its slot.
+    std::uint32_t insert(const block_key& key);
+
+    /// Removes the key at \a slot, which must be in use; the slot may be given out again.
+    void erase(std::uint32_t slot);
+
+    const block_key& key(std::uint32_t slot) const { return m_keys[slot]; }
+    std::size_t size() const { return m_keys.size() - m_free.size(); }
+
+    /// Upper bound of the slots given out so far.
+    std::size_t slotLimit() const { return m_keys.size(); }
+
+    /// Bytes held, including spare capacity.
+    std::size_t memoryBytes() const;
+
+private:
+    std::size_t home(const block_key& key) const { return key.low() & (m_cells.size() - 1); }
+    void place(std::uint32_t slot);
+    void grow();
+
+    std::vector<block_key> m_keys;
+    std::vector<std::uint32_t> m_free;
+    std::vector<std::uint32_t> m_cells;
+};
+
+} // namespace marigold::context
--- /dev/null
+++ b/src/libs/context/context.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file
+/// Public header of the context library: how blocks of cached context are named, stored, found, moved and
+/// evicted.
+
+#include "block_key.h"
