Add the block pool with reads that are verified at their end

Cause: blocks are read from live buffers while writers, evictions, moves and crashes go on, and a freed or partially written block must never be delivered (I1).

Change: block_pool with a memory and a disk tier over extents that are reused last-in first-out. Writers hold a lease, readers a pin with a timeout; generation, epoch, length and checksum are compared in endRead, which alone creates a verified_read. The number of reservations per team is bounded.

The state-machine test runs 100 schedules against a reference model.

--- a/src/libs/context/context.h
+++ b/src/libs/context/context.h
@@ -4,4 +4,7 @@
 /// Public header of the context library: how blocks of cached context are named, stored, found, moved and
 /// evicted.
 
+#include "block_checksum.h"
 #include "block_key.h"
+#include "block_pool.h"
+#include "extent_storage.h"
--- /dev/null
+++ b/src/libs/context/write_lease.cpp
@@ -0,0 +1,76 @@
+#include "write_lease.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace marigold::context {
+
+std::string_view nameOf(block_tier tier)
+{
+    return tier == block_tier::Memory ? "memory" : "disk";
+}
+
+base::result<void> write_lease::write(
+    const extent_arena& arena, std::uint64_t offset, std::span<const std::byte> bytes)
+{
+    if (offset > m_options.maximumBytes || bytes.size() > m_options.maximumBytes - offset)
+        return base::notRun(base::error_reason::InvalidRequest,
+            fmt::format("the piece exceeds the reserved {} bytes", m_options.maximumBytes), "offset");
+    if (bytes.empty())
+        return {};
+    if (!agreesWithWritten(arena, offset, bytes))
+        return base::notRun(
+            base::error_reason::Conflict, "the piece differs from bytes that were written before");
+    if (m_ranges.size() >= maximumRanges)
+        return base::notRun(base::error_reason::TooLarge,
+            fmt::format("the block is in more than {} separate ranges", maximumRanges));
+    arena.copyIn(m_options.firstExtent, offset, bytes);
+    addRange(offset, offset + bytes.size());
+    const std::uint64_t contiguous = m_ranges.begin()->first == 0 ? m_ranges.begin()->second : 0;
+    arena.addTo(m_sum, m_options.firstExtent, m_summed, contiguous);
+    m_summed = std::max(m_summed, contiguous);
+    return {};
+}
+
+base::result<void> write_lease::check(std::uint64_t length, std::uint64_t checksum) const
+{
+    if (length == 0 || m_ranges.size() != 1 || m_summed != length)
+        return base::notRun(base::error_reason::InvalidRequest,
+            fmt::format("{} contiguous bytes have arrived, not {}", m_summed, length), "length");
+    if (m_sum.value() != checksum)
+        return base::notRun(
+            base::error_reason::InvalidRequest, "the bytes do not match the checksum", "checksum");
+    return {};
+}
+
+bool write_lease::agreesWithWritten(
+    const extent_arena& arena, std::uint64_t offset, std::span<const std::byte> bytes) const
+{
+    const std::uint64_t end = offset + bytes.size();
+    auto range = m_ranges.upper_bound(offset);
+    if (range != m_ranges.begin())
+        --range;
+    for (; range != m_ranges.end() && range->first < end; ++range) {
+        const std::uint64_t from = std::max(range->first, offset);
+        const std::uint64_t to = std::min(range->second, end);
+        if (from < to && !arena.matches(m_options.firstExtent, from, bytes.subspan(from - offset, to - from)))
+            return false;
+    }
+    return true;
+}
+
+void write_lease::addRange(std::uint64_t from, std::uint64_t to)
+{
+    auto range = m_ranges.upper_bound(from);
+    if (range != m_ranges.begin() && std::prev(range)->second >= from)
+        --range;
+    while (range != m_ranges.end() && range->first <= to) {
+        from = std::min(from, range->first);
+        to = std::max(to, range->second);
+        range = m_ranges.erase(range);
+    }
+    m_ranges.emplace(from, to);
+}
+
+} // namespace marigold::context
