Add placement of chains on stores and hints about target caches

Cause: entries must find cached context without a directory, and may keep what targets hold only as hints in bounded memory (64 MB at 340,000 prompts).

Change: placement (rendezvous hashing, stores above 1.25 x the mean load are not written, stores of taken-out failure domains are only read) and context_hints (set-associative table in order of last use, 12 bytes an entry; a gap in a target's events drops what its events said by a change of generation).

--- a/src/libs/context/context.h
+++ b/src/libs/context/context.h
@@ -7,4 +7,6 @@
 #include "block_checksum.h"
 #include "block_key.h"
 #include "block_pool.h"
+#include "context_hints.h"
 #include "extent_storage.h"
+#include "placement.h"
