--- /dev/null
+++ b/src/libs/context/context.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// \file
+/// Public header of the context library: how blocks of cached context are named, stored, found, moved and
+/// evicted.
+
+#include "block_checksum.h"
+#include "block_key.h"
+#include "block_pool.h"
+#include "context_hints.h"
+#include "extent_storage.h"
+#include "placement.h"
