--- /dev/null
+++ b/bench/support/deployment.py
@@ -0,0 +1,307 @@
+"""Starts a small deployment on loopback: stand-ins, agents and entries as real processes, each with its TOML file.
+
+Used by scripts/demo and by the measurements that drive the daemons. Everything started here is ended here.
+"""
+
+import base64
+import hashlib
+import hmac
+import http.client
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import uuid
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+BUILD = Path(os.environ.get("MARIGOLD_BUILD", ROOT / "build"))
+HOST = "127.0.0.1"
+
+SHAPES = {
+    # The shapes of today's users, scaled by `engines`; stores and services as they are.
+    "bergvik": {
+        "region": "region-nord",
+        "domains": ["hall-tromso", "hall-bodo", "hall-alta"],
+        "model": "transcribe",
+        "policy": "share_recomputed",
+        "service": "orders",
+        "services": 3,
+        "stores": 2,
+        "engines": 20,
+        "load_bound": 3,
+    },
+    "kodakivi": {
+        "region": "ee-north",
+        "domains": ["tallinn-a", "tallinn-b", "tartu-a", "parnu-a"],
+        "model": "pairing",
+        "policy": "first_token",
+        "service": "bookings",
+        "services": 4,
+        "stores": 2,
+        "engines": 12,
+        "load_bound": 2,
+    },
+}
+
+
+def uuid7(now=None):
+    """Returns a UUIDv7 (RFC 9562), the form of an idempotency key."""
+    milliseconds = int((time.time() if now is None else now) * 1000)
+    value = (milliseconds << 80) | (7 << 76) | (secrets.randbits(12) << 64) | (2 << 62) | secrets.randbits(62)
+    return str(uuid.UUID(int=value))
+
+
+def make_key(prefix, name):
+    """Returns a key and its record for the configuration."""
+    secret = secrets.token_hex(32)
+    salt = secrets.token_hex(16)
+    digest = hmac.new(salt.encode(), secret.encode(), hashlib.sha256).hexdigest()
+    return f"{prefix}_{name}_{secret}", f"v1:{salt}:{digest}"
+
+
+def free_ports(count):
+    """Returns ports that are free for TCP and UDP at this moment."""
+    found = []
+    sockets = []
+    while len(found) < count:
+        tcp = socket.socket()
+        tcp.bind((HOST, 0))
+        port = tcp.getsockname()[1]
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            udp.bind((HOST, port))
+        except OSError:
+            tcp.close()
+            continue
+        sockets += [tcp, udp]
+        found.append(port)
+    for item in sockets:
+        item.close()
+    return found
+
+
+def request(port, method, path, body=None, headers=None, timeout=30):
+    """Sends one HTTP request; returns status, headers and body. Raises OSError or HTTPException when it breaks."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    try:
+        data = body if body is None or isinstance(body, (bytes, str)) else json.dumps(body)
+        connection.request(method, path, body=data, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+def toml(sections):
+    lines = []
+    for section, values in sections.items():
+        lines.append(f"[{section}]")
+        for key, value in values.items():
+            lines.append(f"{key} = {json.dumps(value)}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+class Process:
+    """One process of the deployment."""
+
+    def __init__(self, name, program, config, folder):
+        self.name = name
+        self.program = program
+        self.config = config
+        self.folder = folder
+        self.popen = None
+
+    def start(self):
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(toml(self.config))
+        log = open(self.folder / f"{self.name}.log", "ab")
+        self.popen = subprocess.Popen([str(BUILD / "src" / self.program), "--config", str(path)], stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.popen and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def wait(self, timeout=30):
+        return self.popen.wait(timeout)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.popen:
+            self.popen.wait(10)
+
+    def is_running(self):
+        return self.popen is not None and self.popen.poll() is None
+
+
+class Deployment:
+    def __init__(self, shape, engines=None, entries=2, seed=1, teams=("alpha", "beta"), engine=None, kv=None, entry=None, agent=None):
+        self.shape = SHAPES[shape]
+        self.seed = seed
+        self.folder = Path(tempfile.mkdtemp(prefix="marigold-"))
+        self.processes = {}
+        self.ports = {}
+        self.message_key = "k1:" + secrets.token_hex(32)
+        self.operator_key, operator_record = make_key("mbop", "root")
+        self.team_keys = {}
+        self.document = {
+            "teams": {},
+            "models": {self.shape["model"]: {"version": "v1", "policy": self.shape["policy"]}},
+            "services": {self.shape["service"]: {"idempotent": ["GET"]}},
+            "failure_domains": {name: {"in_service": True} for name in self.shape["domains"]},
+            "targets": {},
+            "operators": {"root": {"key_records": [operator_record], "rights": ["read", "change", "dangerous"]}},
+            "weight_stores": {"weights": {"concurrent_loads": self.shape["load_bound"]}},
+            "capacity_floor": 0.5,
+        }
+        for name in teams:
+            self.team_keys[name], record = make_key("mb", name)
+            self.document["teams"][name] = {"key_records": [record], "block_secret": secrets.token_hex(32)}
+        self.plan(engines or self.shape["engines"], entries, engine or {}, kv or {}, entry or {}, agent or {})
+
+    # -- layout ---------------------------------------------------------------------------------------------
+
+    def plan(self, engines, entries, engine, kv, entry, agent):
+        services = self.shape["services"]
+        stores = self.shape["stores"]
+        ports = iter(free_ports(3 + engines * 2 + services * 2 + stores + entries * 2))
+        self.standin("kv", "kv", next(ports), {"kv_service": kv})
+        self.standin("weights", "weights", next(ports), {"weights": {"bound": self.shape["load_bound"]}})
+        self.standin("vmlist", "vmlist", next(ports), {})
+        self.entries = [f"entry-{i + 1}" for i in range(entries)]
+        domains = self.shape["domains"]
+        fleet = {name: (next(ports), domains[i % len(domains)]) for i, name in enumerate(self.entries)}
+        seeds = [f"{HOST}:{port}" for port, _ in fleet.values()]
+        for i in range(engines):
+            name = f"engine-{i + 1}"
+            target = next(ports)
+            self.standin(f"{name}-model", "engine", target, {"engine": {
+                "model": self.shape["model"],
+                "weight_store": f"http://{HOST}:{self.ports['weights']}",
+                "checks_fencing": i % 2 == 0,
+                "warm_up_tokens": 60,
+                **engine,
+            }})
+            self.agent(name, next(ports), domains[i % len(domains)], "engine", seeds,
+                       {"target": f"http://{HOST}:{target}", "weight_store": "weights", **agent}, {"model": self.shape["model"]})
+        for i in range(services):
+            name = f"{self.shape['service']}-{i + 1}"
+            target = next(ports)
+            self.standin(f"{name}-plain", "service", target, {})
+            self.agent(name, next(ports), domains[i % len(domains)], "service", seeds,
+                       {"target": f"http://{HOST}:{target}", "slots": 32, "first_slots": 8}, {"service": self.shape["service"]})
+        for i in range(stores):
+            self.agent(f"store-{i + 1}", next(ports), domains[i % len(domains)], "store", seeds, {}, {})
+        for name, (port, domain) in fleet.items():
+            public = next(ports)
+            self.ports[f"{name}-public"] = public
+            self.add(name, "marigold-entry", {**self.common(name, port, domain, seeds), "entry": {"public_port": public, **entry}})
+
+    def add(self, name, program, config):
+        self.processes[name] = Process(name, program, config, self.folder)
+
+    def standin(self, name, role, port, extra):
+        self.ports[name] = port
+        self.add(name, "marigold-standin", {"standin": {"role": role, "listen_port": port, "seed": self.seed}, **extra})
+
+    def common(self, name, port, domain, seeds):
+        self.ports[name] = port
+        return {
+            "process": {"id": name, "failure_domain": domain, "region": self.shape["region"], "listen_port": port},
+            "cluster": {"seed_peers": [seed for seed in seeds if seed != f"{HOST}:{port}"], "message_key": self.message_key},
+            "kv": {"endpoint": f"http://{HOST}:{self.ports['kv']}", "call_timeout_ms": 1000},
+        }
+
+    def agent(self, name, port, domain, kind, seeds, settings, target):
+        self.add(name, "marigold-agent", {**self.common(name, port, domain, seeds), "agent": {"kind": kind, **settings}})
+        self.document["targets"][name] = {
+            "address": f"{HOST}:{port}", "failure_domain": domain, "region": self.shape["region"], "kind": kind, **target}
+
+    # -- life -----------------------------------------------------------------------------------------------
+
+    def start(self):
+        self.processes["kv"].start()
+        self.wait_for(lambda: request(self.ports["kv"], "GET", "/standin/counters")[0] == 200, 10, "the key-value stand-in")
+        self.write_first_configuration()
+        for name, process in self.processes.items():
+            if name != "kv":
+                process.start()
+        self.wait_for(self.is_ready, 40, "the deployment")
+
+    def write_first_configuration(self):
+        """Writes version 1 the way `config_log` reads it: a snapshot."""
+        text = json.dumps(self.document, sort_keys=True, separators=(",", ":"))
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        value = json.dumps({"version": 1, "digest": digest, "document": self.document})
+        status, _, body = request(self.ports["kv"], "PUT", "/v1/kv/config/snapshot",
+                                  {"value": base64.b64encode(value.encode()).decode(), "expected_revision": 0})
+        assert status == 200, body
+
+    def is_ready(self):
+        for name in self.entries:
+            if request(self.ports[f"{name}-public"], "GET", "/readyz")[0] != 200:
+                return False
+            status, _, body = self.admin("GET", "/admin/targets", entry=name)
+            targets = json.loads(body)["targets"] if status == 200 else []
+            if len(targets) != len(self.document["targets"]):
+                return False
+            for target in targets:
+                if target["state"] != "serving" or (target["kind"] == "engine" and not target["load"].get("bound")):
+                    return False
+        return True
+
+    @staticmethod
+    def wait_for(check, seconds, what):
+        end = time.time() + seconds
+        while time.time() < end:
+            try:
+                if check():
+                    return
+            except (OSError, http.client.HTTPException, ValueError, KeyError):
+                pass
+            time.sleep(0.05)
+        raise RuntimeError(f"{what} was not ready within {seconds} s")
+
+    def stop(self):
+        for process in self.processes.values():
+            process.kill()
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    # -- requests -------------------------------------------------------------------------------------------
+
+    def admin(self, method, path, body=None, entry=None):
+        port = self.ports[f"{entry or self.entries[0]}-public"]
+        return request(port, method, path, body, {"Authorization": f"Bearer {self.operator_key}"})
+
+    def headers(self, team, **extra):
+        return {"Authorization": f"Bearer {self.team_keys[team]}", "Content-Type": "application/json",
+                **{name.replace("_", "-"): value for name, value in extra.items()}}
+
+    def counters(self, name):
+        return json.loads(request(self.ports[name], "GET", "/standin/counters")[2])
+
+    def faults(self, name, rules):
+        assert request(self.ports[name], "POST", "/standin/faults", rules)[0] == 200
+
+    def engine_models(self):
+        return [name for name in self.processes if name.endswith("-model")]
+
+    def plain_services(self):
+        return [name for name in self.processes if name.endswith("-plain")]
--- /dev/null
+++ b/src/libs/agent/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_base marigold_net marigold_platform marigold_node marigold_protocol marigold_routing marigold_outcome marigold_context marigold_control fmt)
--- /dev/null
+++ b/src/libs/agent/engine_runner.cpp
@@ -0,0 +1,491 @@
+#include "engine_runner.h"
+
+#include "active_run.h"
+#include "events.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace marigold::agent {
+
+namespace {
+
+constexpr int bytesPerToken = 4;
+
+std::string engineIdOf(std::string_view team, std::string_view run)
+{
+    return base::toHex(base::truncate(base::sha256(fmt::format("{}/{}/{}", team.size(), team, run))));
+}
+
+protocol::run_piece toMessage(const outcome::answer_piece& piece)
+{
+    protocol::run_piece message { .attempt = base::toHex(piece.attempt),
+        .epoch = piece.epoch,
+        .sequence = piece.sequence,
+        .text = piece.text,
+        .tokens = piece.tokens };
+    if (piece.end) {
+        message.isFinal = true;
+        message.finishReason = outcome::nameOf(piece.end->reason);
+        message.promptTokens = piece.end->usage.promptTokens;
+        message.cachedTokens = piece.end->usage.cachedTokens;
+        message.completionTokens = piece.end->usage.completionTokens;
+    }
+    return message;
+}
+
+/// Engines honour higher numbers first, callers give 0 to the most urgent class.
+int enginePriority(int priority)
+{
+    return 2 - priority;
+}
+
+} // namespace
+
+struct engine_runner::private_data {
+    platform::completion_engine& engine;
+    block_mover& blocks;
+    const base::clock& clock;
+    base::scheduler& timers;
+    options opts;
+    routing::cold_ramp ramp;
+    routing::admission admission;
+    outcome::run_registry registry;
+    std::map<base::digest128, std::unique_ptr<active_run>> runs;
+    std::map<routing::work_id, base::digest128> byWork;
+    routing::work_id nextWork = 1;
+    platform::engine_state engineState;
+    bool engineKnown = false;
+    std::function<void(const std::string&)> ended;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    private_data(platform::completion_engine& engine, block_mover& blocks, const base::clock& time,
+        base::scheduler& timers, options given);
+
+    base::result<void> check(const protocol::run_request& request) const;
+    active_run* find(const base::digest128& id);
+    void begin(active_run& run);
+    void startEngine(const base::digest128& id);
+    void token(const base::digest128& id, const platform::engine_token& next);
+    void streamEnded(const base::digest128& id, const base::result<platform::engine_end>& outcome);
+    void complete(active_run& run, const platform::engine_end& end);
+    void recover(active_run& run, const base::error& problem);
+    void openResumed(const base::digest128& id);
+    void emit(active_run& run, outcome::answer_piece piece);
+    void fail(active_run& run, const base::error& problem);
+    void erase(active_run& run);
+    void cancelRun(const base::digest128& id);
+    void recoverUnknown(const protocol::resume_message& request, const std::shared_ptr<run_reader>& reader);
+};
+
+engine_runner::private_data::private_data(platform::completion_engine& engine, block_mover& blocks,
+    const base::clock& time, base::scheduler& timers, options given)
+    : engine(engine)
+    , blocks(blocks)
+    , clock(time)
+    , timers(timers)
+    , opts(std::move(given))
+    , ramp({ .first = opts.firstSlots, .full = opts.slots, .target = opts.target, .log = opts.log })
+    , admission(time,
+          { .bound = opts.firstSlots,
+              .queueCapacity = static_cast<std::size_t>(opts.queueCapacity),
+              .start =
+                  [this](const routing::work& item) {
+                      const auto found = byWork.find(item.id);
+                      if (found != byWork.end())
+                          begin(*runs.at(found->second));
+                  },
+              .refuse =
+                  [this](const routing::work& item, const base::error& problem) {
+                      const auto found = byWork.find(item.id);
+                      if (found == byWork.end())
+                          return;
+                      active_run& run = *runs.at(found->second);
+                      const auto reader = run.reader;
+                      erase(run);
+                      reader->failed(problem);
+                  } },
+          opts.adoptedRuns)
+    , registry(timers, { .cancel = [this](const base::digest128& id) { cancelRun(id); } })
+{
+}
+
+base::result<void> engine_runner::private_data::check(const protocol::run_request& request) const
+{
+    if (!engineKnown)
+        return base::notRun(base::error_reason::Unavailable, "the engine has not reported yet");
+    if (request.model != engineState.model)
+        return base::notRun(base::error_reason::NotFound, "the engine serves another model", "model");
+    if (request.version != engineState.version || engineState.loading)
+        return base::notRun(
+            base::error_reason::Unavailable, "the engine serves another weight version", "version");
+    return {};
+}
+
+active_run* engine_runner::private_data::find(const base::digest128& id)
+{
+    const auto found = runs.find(id);
+    return found == runs.end() ? nullptr : found->second.get();
+}
+
+void engine_runner::private_data::begin(active_run& run)
+{
+    const auto registered = registry.begin({ .run = run.id,
+        .attempt = run.attempt,
+        .epoch = run.request.epoch,
+        .team = run.request.team,
+        .owner = run.request.owner });
+    if (!registered)
+        return fail(run, registered.error());
+    run.startedAt = clock.now();
+    run.reader->started();
+    if (run.request.loadBlocks == 0)
+        return startEngine(run.id);
+    blocks.load(run.request, [this, id = run.id, alive = std::weak_ptr(alive)](int) {
+        if (!alive.expired())
+            startEngine(id);
+    });
+}
+
+void engine_runner::private_data::startEngine(const base::digest128& id)
+{
+    active_run* run = find(id);
+    if (!run)
+        return;
+    run->isStreaming = true;
+    run->stream = engine.start(
+        { .requestId = run->engineId,
+            .model = run->request.model,
+            .version = run->request.version,
+            .prompt = run->request.prompt,
+            .maxTokens = run->request.maxTokens,
+            .temperature = run->request.temperature,
+            .priority = enginePriority(run->request.priority),
+            .cacheSalt = run->request.cacheSalt },
+        [this, id](const platform::engine_token& next) { token(id, next); },
+        [this, id](const auto& outcome) { streamEnded(id, outcome); });
+}
+
+void engine_runner::private_data::token(const base::digest128& id, const platform::engine_token& next)
+{
+    active_run* run = find(id);
+    // A resumed stream may repeat tokens; a gap shows at its end as a break.
+    if (!run || next.index != run->received)
+        return;
+    if (run->received++ == 0)
+        admission.prefillDone(run->work);
+    emit(*run,
+        { .attempt = run->attempt,
+            .epoch = run->request.epoch,
+            .sequence = static_cast<std::uint64_t>(run->received),
+            .text = next.text,
+            .tokens = 1 });
+}
+
+void engine_runner::private_data::emit(active_run& run, outcome::answer_piece piece)
+{
+    const auto message = toMessage(piece);
+    registry.append(run.id, std::move(piece));
+    if (run.reader && run.reader->isOpen() && message.sequence > run.deliverAfter)
+        run.reader->piece(message);
+}
+
+void engine_runner::private_data::streamEnded(
+    const base::digest128& id, const base::result<platform::engine_end>& outcome)
+{
+    active_run* run = find(id);
+    if (!run)
+        return;
+    run->isStreaming = false;
+    if (!outcome)
+        return recover(*run, outcome.error());
+    if (static_cast<std::uint32_t>(run->received) < outcome->completionTokens)
+        return recover(*run,
+            { .verdict = base::verdict::MayHaveRun,
+                .reason = base::error_reason::StreamBroken,
+                .message = "the engine's stream has a gap" });
+    if (!run->request.version.empty() && outcome->version != run->request.version)
+        return fail(*run,
+            { .verdict = base::verdict::Ran,
+                .reason = base::error_reason::StreamBroken,
+                .message = "the engine used another weight version" });
+    complete(*run, *outcome);
+}
+
+void engine_runner::private_data::complete(active_run& run, const platform::engine_end& end)
+{
+    const auto reason
+        = end.finishReason == "length" ? outcome::finish_reason::Length : outcome::finish_reason::Stop;
+    emit(run,
+        { .attempt = run.attempt,
+            .epoch = run.request.epoch,
+            .sequence = static_cast<std::uint64_t>(run.received) + 1,
+            .text = {},
+            .tokens = 0,
+            .end = outcome::answer_end { .reason = reason,
+                .usage = { .promptTokens = end.promptTokens,
+                    .cachedTokens = end.cachedTokens,
+                    .completionTokens = end.completionTokens } } });
+
+    if (!run.isRecovered) {
+        const double prefill
+            = static_cast<double>(end.promptTokens - std::min(end.promptTokens, end.cachedTokens))
+            / opts.prefillTokensPerSecond;
+        const auto expected
+            = std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(prefill))
+            + opts.tokenTime * (static_cast<int>(end.completionTokens) + 1);
+        admission.setBound(ramp.observe(clock.now() - run.startedAt, expected));
+        if (!run.request.saveTo.empty())
+            blocks.save(run.request);
+    }
+    erase(run);
+}
+
+void engine_runner::private_data::recover(active_run& run, const base::error& problem)
+{
+    if (problem.verdict == base::verdict::NotRun && run.received == 0 && !run.isRecovered
+        && problem.reason != base::error_reason::NotFound)
+        return fail(run, problem);
+    if (run.resumesLeft == 0 || problem.reason == base::error_reason::NotFound) {
+        // An engine that has forgotten its runs was restarted and is cold.
+        ramp.restart();
+        admission.setBound(ramp.bound());
+        return fail(run,
+            { .verdict = base::verdict::MayHaveRun,
+                .reason = base::error_reason::StreamBroken,
+                .message = "the engine lost the run" });
+    }
+    --run.resumesLeft;
+    timers.runAfter(opts.resumeDelay, [this, id = run.id, alive = std::weak_ptr(alive)] {
+        if (!alive.expired())
+            openResumed(id);
+    });
+}
+
+void engine_runner::private_data::openResumed(const base::digest128& id)
+{
+    active_run* run = find(id);
+    if (!run)
+        return;
+    run->isStreaming = true;
+    run->stream = engine.resume(
+        run->engineId, run->received, [this, id](const platform::engine_token& next) { token(id, next); },
+        [this, id](const auto& outcome) { streamEnded(id, outcome); });
+}
+
+void engine_runner::private_data::fail(active_run& run, const base::error& problem)
+{
+    if (opts.log)
+        opts.log->write(events::runFailed,
+            { { "run", run.request.run }, { "verdict", std::string(base::nameOf(problem.verdict)) },
+                { "message", problem.message } });
+    registry.cancelled(run.id);
+    const auto reader = run.reader;
+    erase(run);
+    if (reader && reader->isOpen())
+        reader->failed(problem);
+}
+
+void engine_runner::private_data::erase(active_run& run)
+{
+    const std::string name = run.request.run;
+    const routing::work_id work = run.work;
+    byWork.erase(work);
+    runs.erase(run.id);
+    admission.finish(work);
+    if (ended)
+        ended(name);
+}
+
+void engine_runner::private_data::cancelRun(const base::digest128& id)
+{
+    active_run* run = find(id);
+    if (!run)
+        return;
+    if (admission.cancelQueued(run->work)) {
+        registry.cancelled(id);
+        return erase(*run);
+    }
+    if (run->isStreaming)
+        engine.detach(run->stream);
+    engine.cancel(run->engineId, [](const auto&) {});
+    registry.cancelled(id);
+    erase(*run);
+}
+
+void engine_runner::private_data::recoverUnknown(
+    const protocol::resume_message& request, const std::shared_ptr<run_reader>& reader)
+{
+    auto run = std::make_unique<active_run>();
+    run->request = { .run = request.run,
+        .attempt = request.attempt,
+        .epoch = request.epoch,
+        .team = request.team,
+        .owner = request.owner,
+        .model = {},
+        .version = {},
+        .prompt = {},
+        .cacheSalt = {} };
+    run->id = *base::digest128FromHex(request.run);
+    run->attempt = *base::digest128FromHex(request.attempt);
+    run->engineId = engineIdOf(request.team, request.run);
+    // The stream is read from its start, so that the registry can serve the next resume.
+    run->deliverAfter = request.afterSequence;
+    run->resumesLeft = 1;
+    run->isRecovered = true;
+    run->reader = reader;
+    run->startedAt = clock.now();
+    const base::digest128 id = run->id;
+    const auto registered = registry.begin({ .run = id,
+        .attempt = run->attempt,
+        .epoch = request.epoch,
+        .team = request.team,
+        .owner = request.owner });
+    if (!registered)
+        return reader->failed({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::NotFound,
+            .message = "the run is not known" });
+    if (opts.log)
+        opts.log->write(events::runRecovered, { { "run", request.run } });
+    runs[id] = std::move(run);
+    openResumed(id);
+}
+
+engine_runner::engine_runner(platform::completion_engine& engine, block_mover& blocks,
+    const base::clock& time, base::scheduler& timers, options opts)
+    : d(std::make_unique<private_data>(engine, blocks, time, timers, std::move(opts)))
+{
+}
+
+engine_runner::~engine_runner() = default;
+
+void engine_runner::engineReported(const platform::engine_state& state, base::time_point measuredAt)
+{
+    d->engineState = state;
+    d->engineKnown = true;
+    d->admission.engineReported(state.running, measuredAt);
+    d->admission.expire();
+}
+
+void engine_runner::engineLost()
+{
+    if (!d->engineKnown)
+        return;
+    d->engineKnown = false;
+    d->ramp.restart();
+    d->admission.setBound(d->ramp.bound());
+}
+
+void engine_runner::submit(const protocol::run_request& request, std::shared_ptr<run_reader> reader)
+{
+    if (const auto checked = d->check(request); !checked)
+        return reader->failed(checked.error());
+    const auto id = *base::digest128FromHex(request.run);
+    if (d->find(id))
+        return reader->failed({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Conflict,
+            .message = "the run exists" });
+
+    auto run = std::make_unique<active_run>();
+    run->request = request;
+    run->id = id;
+    run->attempt = *base::digest128FromHex(request.attempt);
+    run->engineId = engineIdOf(request.team, request.run);
+    run->reader = std::move(reader);
+    run->work = d->nextWork++;
+    run->resumesLeft = d->opts.resumeAttempts;
+    active_run& added = *run;
+    d->runs[id] = std::move(run);
+    d->byWork[added.work] = id;
+
+    const auto admitted = d->admission.submit({ .id = added.work,
+        .priority = static_cast<routing::priority>(request.priority),
+        .deadline = d->clock.now() + request.remaining,
+        .prefillTokens = static_cast<int>(request.prompt.size()) / bytesPerToken });
+    if (!admitted) {
+        const auto refused = added.reader;
+        d->byWork.erase(added.work);
+        d->runs.erase(id);
+        return refused->failed(admitted.error());
+    }
+    if (*admitted == routing::admission_outcome::Started)
+        d->begin(added);
+}
+
+void engine_runner::resume(const protocol::resume_message& request, std::shared_ptr<run_reader> reader)
+{
+    const auto id = *base::digest128FromHex(request.run);
+    const auto attempt = *base::digest128FromHex(request.attempt);
+    const auto tail
+        = d->registry.resume(id, attempt, request.epoch, request.team, request.afterSequence, request.owner);
+    if (!tail) {
+        if (tail.error().reason == base::error_reason::NotFound && !d->find(id))
+            return d->recoverUnknown(request, reader);
+        return reader->failed(tail.error());
+    }
+    reader->started();
+    for (const auto& piece : tail->pieces)
+        reader->piece(toMessage(piece));
+    if (tail->state == outcome::run_state::Cancelled)
+        return reader->failed({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::StreamBroken,
+            .message = "the run was cancelled" });
+    if (active_run* run = d->find(id)) {
+        run->reader = std::move(reader);
+        run->request.owner = request.owner;
+    }
+}
+
+void engine_runner::readerGone(const std::string& run, const std::string& owner)
+{
+    const auto id = base::digest128FromHex(run);
+    active_run* found = id ? d->find(*id) : nullptr;
+    if (!found || found->request.owner != owner)
+        return;
+    // A queued run has produced nothing that could be resumed.
+    if (!found->isStreaming && found->startedAt == base::time_point {})
+        return d->cancelRun(*id);
+    d->registry.connectionLost(*id, owner);
+}
+
+void engine_runner::cancel(const std::string& run, const std::string& team)
+{
+    const auto id = base::digest128FromHex(run);
+    active_run* found = id ? d->find(*id) : nullptr;
+    if (found && found->request.team == team)
+        d->cancelRun(*id);
+}
+
+void engine_runner::ownerGone(const std::string& owner)
+{
+    d->registry.ownerGone(owner);
+}
+
+protocol::agent_load engine_runner::load() const
+{
+    return { .running = d->admission.running(),
+        .queued = d->admission.queued(),
+        .bound = d->engineKnown ? d->admission.bound() : 0,
+        .pendingPrefillTokens = d->admission.pendingPrefillTokens(),
+        .prefillTokensPerSecond = d->opts.prefillTokensPerSecond,
+        .serviceTime = d->admission.serviceTime(),
+        .version = d->engineState.version };
+}
+
+std::size_t engine_runner::activeRuns() const
+{
+    return d->runs.size();
+}
+
+int engine_runner::rampBound() const
+{
+    return d->ramp.bound();
+}
+
+void engine_runner::onEnded(std::function<void(const std::string& run)> handler)
+{
+    d->ended = std::move(handler);
+}
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/agent/http_run_reader.cpp
@@ -0,0 +1,46 @@
+#include "http_run_reader.h"
+
+namespace marigold::agent {
+
+namespace {
+
+/// A reader this far behind is cut off; it can resume, since the run keeps its recent pieces.
+constexpr std::size_t maxPendingBytes = 1 << 20;
+
+} // namespace
+
+void http_run_reader::started()
+{
+    if (m_started)
+        return;
+    m_started = true;
+    m_exchange->startStream(
+        200, { { "Content-Type", "text/event-stream" }, { std::string(protocol::loadHeader), m_load() } });
+}
+
+void http_run_reader::piece(const protocol::run_piece& next)
+{
+    started();
+    if (m_exchange->pendingBytes() > maxPendingBytes)
+        return m_exchange->abort();
+    m_exchange->write(net::encodeEvent(next.encode()));
+    if (!next.isFinal)
+        return;
+    m_exchange->write(net::encodeEvent(m_load(), {}, "load"));
+    m_exchange->endStream();
+}
+
+void http_run_reader::failed(const base::error& problem)
+{
+    if (!m_started)
+        return node::replyError(m_exchange, problem, { { std::string(protocol::loadHeader), m_load() } });
+    m_exchange->write(net::encodeEvent(protocol::encodeError(problem), {}, "error"));
+    m_exchange->endStream();
+}
+
+bool http_run_reader::isOpen() const
+{
+    return m_exchange->isOpen();
+}
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/agent/http_run_reader.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "run_reader.h"
+
+#include <node/node.h>
+
+#include <functional>
+
+namespace marigold::agent {
+
+/// Writes the pieces of a run as server-sent events.
+class http_run_reader final : public run_reader {
+public:
+    /// \a load gives the value of the load header when the answer begins.
+    http_run_reader(node::exchange_ptr exchange, std::function<std::string()> load)
+        : m_exchange(std::move(exchange))
+        , m_load(std::move(load))
+    {
+    }
+
+    void started() override;
+    void piece(const protocol::run_piece& next) override;
+    void failed(const base::error& problem) override;
+    bool isOpen() const override;
+
+private:
+    node::exchange_ptr m_exchange;
+    std::function<std::string()> m_load;
+    bool m_started = false;
+};
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/agent/work_gate.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <node/node.h>
+
+#include <string>
+
+namespace marigold::agent {
+
+/// Decides whether this agent takes new work at all, before any limit of its target.
+class work_gate {
+public:
+    explicit work_gate(node::fleet_node& node)
+        : m_node(node)
+    {
+    }
+
+    /// Registers a request for the shutdown to wait for. Refuses as `not_run` while the process is not ready,
+    /// is shutting down, or its target or failure domain is out of service.
+    base::result<outcome::drain::work_id> enter(const std::string& description);
+
+    void leave(outcome::drain::work_id work) { m_node.drain().leave(work); }
+
+    /// Returns the entry of this agent's target in the configuration; null if there is none.
+    const control::target* target() const;
+
+private:
+    node::fleet_node& m_node;
+};
+
+} // namespace marigold::agent
--- a/src/libs/control/config_document.cpp
+++ b/src/libs/control/config_document.cpp
@@ -15,7 +15,9 @@
 
 constexpr std::array<std::string_view, 2> policyNames { "share_recomputed", "first_token" };
 constexpr std::array<std::string_view, 3> kindNames { "engine", "store", "service" };
-constexpr std::size_t keyHashDigits = 64; // SHA-256 in hexadecimal
+constexpr std::string_view keyRecordVersion = "v1";
+constexpr std::size_t saltDigits = 32;
+constexpr std::size_t keyHashDigits = 64; // HMAC-SHA256 in hexadecimal
 constexpr double maxWeight = 1e6;
 constexpr double maxRate = 1e9;
 
@@ -28,11 +30,35 @@
     return static_cast<std::size_t>(found - names.begin());
 }
 
-std::string checkedHash(std::string hash, std::string path)
+bool isHexadecimal(std::string_view text, std::size_t digits)
 {
-    if (hash.size() != keyHashDigits || hash.find_first_not_of("0123456789abcdef") != std::string::npos)
-        throw field_error(std::move(path), "not 64 lower-case hexadecimal digits");
-    return hash;
+    return text.size() == digits && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+/// Checks the form `v1:SALT:HASH` or `v1:SALT:HASH:EXPIRES` of a stored key.
+void checkKeyRecord(std::string_view record, std::string path)
+{
+    std::vector<std::string_view> parts;
+    for (std::size_t start = 0; start <= record.size();) {
+        const auto end = std::min(record.find(':', start), record.size());
+        parts.push_back(record.substr(start, end - start));
+        start = end + 1;
+    }
+    const bool hasForm = (parts.size() == 3 || parts.size() == 4) && parts[0] == keyRecordVersion
+        && isHexadecimal(parts[1], saltDigits) && isHexadecimal(parts[2], keyHashDigits);
+    const bool hasExpiry = parts.size() < 4
+        || (!parts[3].empty() && parts[3].find_first_not_of("0123456789") == std::string_view::npos);
+    if (!hasForm || !hasExpiry)
+        throw field_error(std::move(path), "not a key record v1:SALT:HASH or v1:SALT:HASH:EXPIRES");
+}
+
+std::vector<std::string> readKeyRecords(object_reader& reader)
+{
+    reader.need("key_records");
+    auto records = reader.texts("key_records");
+    for (std::size_t i = 0; i < records.size(); ++i)
+        checkKeyRecord(records[i], reader.pathOf("key_records") + '/' + std::to_string(i));
+    return records;
 }
 
 team readTeam(const json& value, std::string path)
@@ -41,10 +67,7 @@
     team out;
     out.weight = reader.number("weight", 0, maxWeight, 1);
     out.burst = reader.number("burst", 0, maxWeight, 1);
-    reader.need("key_hashes");
-    out.keyHashes = reader.texts("key_hashes");
-    for (std::size_t i = 0; i < out.keyHashes.size(); ++i)
-        checkedHash(out.keyHashes[i], reader.pathOf("key_hashes") + '/' + std::to_string(i));
+    out.keyRecords = readKeyRecords(reader);
     out.blockSecret = reader.text("block_secret");
     if (const json* limits = reader.find("limits")) {
         object_reader inner(*limits, reader.pathOf("limits"));
@@ -108,7 +131,7 @@
 {
     object_reader reader(value, std::move(path));
     operator_account out;
-    out.keyHash = checkedHash(reader.text("key_hash"), reader.pathOf("key_hash"));
+    out.keyRecords = readKeyRecords(reader);
     const auto rights = reader.texts("rights");
     for (std::size_t i = 0; i < rights.size(); ++i) {
         if (rights[i] == "read")
--- a/src/libs/control/config_document.h
+++ b/src/libs/control/config_document.h
@@ -22,7 +22,8 @@
 struct team {
     double weight = 1; ///< Share among the teams that wait, relative to their weights.
     double burst = 1; ///< Multiple of the share that may be used for a short time.
-    std::vector<std::string> keyHashes; ///< SHA-256 of each API key, hexadecimal.
+    std::vector<std::string>
+        keyRecords; ///< Salted hashes of the API keys, `v1:SALT:HASH` or `v1:SALT:HASH:EXPIRES`.
     std::string blockSecret; ///< Key of the HMAC that names cached blocks. Never logged.
     team_limits limits;
 };
@@ -75,7 +76,7 @@
 };
 
 struct operator_account {
-    std::string keyHash;
+    std::vector<std::string> keyRecords; ///< As for a team.
     bool mayRead = false;
     bool mayChange = false;
     bool mayEndanger = false; ///< Right `dangerous`.
--- a/src/libs/control/config_patch.cpp
+++ b/src/libs/control/config_patch.cpp
@@ -71,7 +71,7 @@
     const auto present = document.find("teams");
     for (const auto& [name, value] : changed->items()) {
         const bool known = present != document.end() && present->contains(name);
-        if (!known && (value.is_null() || !value.contains("key_hashes")))
+        if (!known && (value.is_null() || !value.contains("key_records")))
             return base::notRun(error_reason::InvalidRequest, "unknown team \"" + name + '"',
                 "/teams/" + detail::escapePointer(name));
     }
--- /dev/null
+++ b/src/libs/entry/admin_api.cpp
@@ -0,0 +1,501 @@
+#include "admin_api.h"
+
+#include "events.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace marigold::entry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto keyOverlap = std::chrono::hours(24);
+
+base::result<json> bodyOf(const node::exchange_ptr& exchange)
+{
+    json body = json::parse(exchange->body(), nullptr, false);
+    if (!body.is_object())
+        return base::notRun(base::error_reason::InvalidRequest, "the body must be a JSON object", "body");
+    return body;
+}
+
+base::result<std::uint64_t> numberOf(std::string_view text, const char* field)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return base::notRun(
+            base::error_reason::InvalidRequest, fmt::format("{} must be a whole number", field), field);
+    return value;
+}
+
+std::string tailOf(const node::exchange_ptr& exchange, std::string_view prefix)
+{
+    return std::string(exchange->path().substr(prefix.size()));
+}
+
+/// Escapes a member name for a JSON pointer (RFC 6901).
+std::string pointerPart(std::string_view name)
+{
+    std::string out;
+    for (const char c : name)
+        out += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+    return out;
+}
+
+json changeBody(std::string_view path, json value)
+{
+    return json::array({ { { "op", "add" }, { "path", path }, { "value", std::move(value) } } });
+}
+
+} // namespace
+
+void admin_api::add(node::http_router& router, std::string method, std::string path,
+    operate::operator_right right, operator_handler handler)
+{
+    router.add(
+        std::move(method), std::move(path), [this, right, handler](const node::exchange_ptr& exchange) {
+            const auto who = m_services.node.access().requireOperator(
+                exchange->header("Authorization").value_or(""), right);
+            if (!who)
+                return node::replyError(exchange, who.error());
+            try {
+                (this->*handler)(exchange, *who);
+            } catch (const json::exception& problem) {
+                node::replyError(exchange,
+                    { .reason = base::error_reason::InvalidRequest,
+                        .message = problem.what(),
+                        .field = "body" });
+            }
+        });
+}
+
+void admin_api::addRoutes(node::http_router& router)
+{
+    using right = operate::operator_right;
+    add(router, "GET", "/admin/config", right::Read, &admin_api::getConfig);
+    add(router, "POST", "/admin/config/patch", right::Change, &admin_api::patchConfig);
+    add(router, "GET", "/admin/config/change/", right::Read, &admin_api::resolveChange);
+    add(router, "GET", "/admin/config/history", right::Read, &admin_api::history);
+    add(router, "GET", "/admin/config/diff", right::Read, &admin_api::diff);
+    add(router, "POST", "/admin/config/rollback", right::Dangerous, &admin_api::rollback);
+    add(router, "GET", "/admin/config/in_force", right::Read, &admin_api::inForce);
+    add(router, "POST", "/admin/domains/", right::Dangerous, &admin_api::setDomain);
+    add(router, "GET", "/admin/targets", right::Read, &admin_api::listTargets);
+    add(router, "POST", "/admin/targets/", right::Change, &admin_api::setTarget);
+    add(router, "POST", "/admin/teams", right::Dangerous, &admin_api::addTeam);
+    add(router, "POST", "/admin/teams/", right::Dangerous, &admin_api::changeTeam);
+    add(router, "GET", "/admin/status", right::Read, &admin_api::status);
+    add(router, "GET", "/admin/explain/", right::Read, &admin_api::explain);
+    add(router, "GET", "/admin/dump", right::Read, &admin_api::dump);
+}
+
+void admin_api::getConfig(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    const auto* current = m_services.node.config().current();
+    if (!current)
+        return node::replyError(
+            exchange, { .reason = base::error_reason::Unavailable, .message = "no configuration is known" });
+    const auto answer = [exchange](std::uint64_t version, const control::config_document& document) {
+        node::replyJson(exchange, 200,
+            json { { "version", version }, { "document", json::parse(document.text()) } }.dump());
+    };
+    const auto wanted = exchange->query("version");
+    if (!wanted)
+        return answer(current->version, current->document);
+    const auto version = numberOf(*wanted, "version");
+    if (!version)
+        return node::replyError(exchange, version.error());
+    m_services.node.configLog().documentAt(*current, *version,
+        [exchange, answer, version = *version](const base::result<control::config_document>& document) {
+            if (!document)
+                return node::replyError(exchange, document.error());
+            answer(version, *document);
+        });
+}
+
+void admin_api::patchConfig(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    const auto body = bodyOf(exchange);
+    if (!body)
+        return node::replyError(exchange, body.error());
+    const auto* current = m_services.node.config().current();
+    if (!current)
+        return node::replyError(
+            exchange, { .reason = base::error_reason::Unavailable, .message = "no configuration is known" });
+    const auto format = body->value("format", "json-patch");
+    if (format != "json-patch" && format != "merge-patch")
+        return node::replyError(exchange,
+            { .reason = base::error_reason::InvalidRequest,
+                .message = "format must be json-patch or merge-patch",
+                .field = "format" });
+    control::config_change change { .baseVersion = body->at("base").get<std::uint64_t>(),
+        .changeId = body->value("change_id", ""),
+        .author = who.name,
+        .kind = format == "json-patch" ? control::patch_kind::JsonPatch : control::patch_kind::MergePatch,
+        .body = body->at("patch").dump() };
+    if (!body->value("dry_run", false))
+        return propose(exchange, who, std::move(change));
+    const auto effect = control::dryRun(*current, change);
+    if (!effect)
+        return node::replyError(exchange, effect.error());
+    node::replyJson(exchange, 200,
+        json { { "outcome", "dry_run" }, { "base", current->version }, { "changes", effect->changedPaths } }
+            .dump());
+}
+
+void admin_api::propose(const node::exchange_ptr& exchange, const operate::operator_identity& who,
+    control::config_change change, std::string extra)
+{
+    const auto* current = m_services.node.config().current();
+    if (!current)
+        return node::replyError(
+            exchange, { .reason = base::error_reason::Unavailable, .message = "no configuration is known" });
+    change.author = who.name;
+    if (change.changeId.empty())
+        change.changeId = control::config_log::makeChangeId(change.baseVersion, m_services.node.random());
+    m_services.node.configLog().propose(*current, change,
+        [this, exchange, who, extra = std::move(extra)](const control::proposal_outcome& outcome) {
+            m_services.node.log().write(events::configChanged,
+                { { "operator", who.name }, { "base", std::to_string(outcome.baseVersion) },
+                    { "outcome", std::string(control::nameOf(outcome.status)) },
+                    { "change_id", outcome.changeId } });
+            replyOutcome(exchange, outcome, extra);
+        });
+}
+
+void admin_api::replyOutcome(
+    const node::exchange_ptr& exchange, const control::proposal_outcome& outcome, const std::string& extra)
+{
+    if (outcome.status == control::proposal_status::Accepted) {
+        if (outcome.accepted)
+            m_services.node.config().apply(*outcome.accepted);
+        json body { { "outcome", "accepted" }, { "version", outcome.currentVersion },
+            { "change_id", outcome.changeId } };
+        body.update(json::parse(extra));
+        return node::replyJson(exchange, 200, body.dump());
+    }
+    if (outcome.status == control::proposal_status::Unknown)
+        return node::replyJson(
+            exchange, 202, json { { "outcome", "unknown" }, { "change_id", outcome.changeId } }.dump());
+    // The error body names both versions, so that the operator knows what to read again.
+    json body = json::parse(protocol::encodeError(outcome.problem));
+    body["outcome"] = "refused";
+    body["base"] = outcome.baseVersion;
+    body["current"] = outcome.currentVersion;
+    body["change_id"] = outcome.changeId;
+    node::replyJson(exchange, base::httpStatus(outcome.problem.reason), body.dump());
+}
+
+void admin_api::resolveChange(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    m_services.node.configLog().resolve(
+        tailOf(exchange, "/admin/config/change/"), [exchange](const control::proposal_outcome& outcome) {
+            node::replyJson(exchange, 200,
+                json { { "outcome", control::nameOf(outcome.status) }, { "change_id", outcome.changeId },
+                    { "version", outcome.currentVersion } }
+                    .dump());
+        });
+}
+
+void admin_api::history(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    constexpr std::uint64_t defaultLimit = 20;
+    constexpr std::uint64_t largestLimit = 1000;
+    std::uint64_t limit = defaultLimit;
+    if (const auto text = exchange->query("limit")) {
+        const auto parsed = numberOf(*text, "limit");
+        if (!parsed)
+            return node::replyError(exchange, parsed.error());
+        limit = std::min(*parsed, largestLimit);
+    }
+    const std::uint64_t version = m_services.node.config().version();
+    const std::uint64_t after = version > limit ? version - limit : 0;
+    m_services.node.configLog().history(
+        after, limit, [exchange](const base::result<std::vector<control::config_patch>>& patches) {
+            if (!patches)
+                return node::replyError(exchange, patches.error());
+            json entries = json::array();
+            for (auto patch = patches->rbegin(); patch != patches->rend(); ++patch) {
+                json paths = json::array();
+                const json inverse = json::parse(patch->inverse, nullptr, false);
+                for (const auto& step : inverse.is_array() ? inverse : json::array())
+                    paths.push_back(step.value("path", ""));
+                entries.push_back({ { "version", patch->version }, { "author", patch->author },
+                    { "time", patch->time.time_since_epoch().count() / 1'000'000 },
+                    { "change_id", patch->changeId }, { "paths", paths } });
+            }
+            node::replyJson(exchange, 200, json { { "entries", entries } }.dump());
+        });
+}
+
+void admin_api::diff(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    const auto from = numberOf(exchange->query("from").value_or(""), "from");
+    const auto to = numberOf(exchange->query("to").value_or(""), "to");
+    const auto* current = m_services.node.config().current();
+    if (!from || !to || !current)
+        return node::replyError(exchange,
+            !from     ? from.error()
+                : !to ? to.error()
+                      : base::error { .reason = base::error_reason::Unavailable,
+                          .message = "no configuration is known" });
+    auto& log = m_services.node.configLog();
+    log.documentAt(*current, *from,
+        [this, &log, exchange, to = *to](const base::result<control::config_document>& first) {
+            const auto* now = m_services.node.config().current();
+            if (!first)
+                return node::replyError(exchange, first.error());
+            log.documentAt(
+                *now, to, [exchange, first = *first](const base::result<control::config_document>& second) {
+                    if (!second)
+                        return node::replyError(exchange, second.error());
+                    node::replyJson(exchange, 200,
+                        json { { "patch", json::parse(control::patchBetween(first, *second)) } }.dump());
+                });
+        });
+}
+
+void admin_api::rollback(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    const auto body = bodyOf(exchange);
+    const auto* current = m_services.node.config().current();
+    if (!body || !current)
+        return node::replyError(exchange,
+            !body ? body.error()
+                  : base::error {
+                      .reason = base::error_reason::Unavailable, .message = "no configuration is known" });
+    const auto base = body->value("base", current->version);
+    if (base != current->version)
+        return replyOutcome(exchange,
+            { .status = control::proposal_status::Refused,
+                .changeId = body->value("change_id", ""),
+                .baseVersion = base,
+                .currentVersion = current->version,
+                .problem = { .reason = base::error_reason::Conflict,
+                    .message = fmt::format(
+                        "the change is based on version {}, version {} is in force", base, current->version),
+                    .field = "base" } },
+            "{}");
+    std::string changeId = body->value("change_id", "");
+    if (changeId.empty())
+        changeId = control::config_log::makeChangeId(current->version, m_services.node.random());
+    m_services.node.configLog().rollback(*current, body->at("to").get<std::uint64_t>(), changeId, who.name,
+        [this, exchange](
+            const control::proposal_outcome& outcome) { replyOutcome(exchange, outcome, "{}"); });
+}
+
+void admin_api::inForce(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    const auto wanted = exchange->query("version");
+    const auto version = wanted ? numberOf(*wanted, "version")
+                                : base::result<std::uint64_t>(m_services.node.config().version());
+    if (!version)
+        return node::replyError(exchange, version.error());
+    json behind = json::array();
+    std::size_t total = 0;
+    for (const auto& [id, tracked] : m_services.node.membership().table().all()) {
+        if (tracked.info.state == control::member_state::Dead)
+            continue;
+        ++total;
+        if (tracked.info.configVersion < *version && id != m_services.node.membership().self().id)
+            behind.push_back(id);
+    }
+    node::replyJson(exchange, 200,
+        json { { "version", *version }, { "in_force", total - behind.size() }, { "total", total },
+            { "behind", behind } }
+            .dump());
+}
+
+void admin_api::setDomain(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    const auto body = bodyOf(exchange);
+    if (!body)
+        return node::replyError(exchange, body.error());
+    const std::string path
+        = fmt::format("/failure_domains/{}/in_service", pointerPart(tailOf(exchange, "/admin/domains/")));
+    propose(exchange, who,
+        { .baseVersion = body->value("base", m_services.node.config().version()),
+            .changeId = body->value("change_id", ""),
+            .author = {},
+            .kind = control::patch_kind::JsonPatch,
+            .body = changeBody(path, body->at("in_service").get<bool>()).dump() });
+}
+
+void admin_api::listTargets(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    json list = json::array();
+    const auto* current = m_services.node.config().current();
+    const auto& table = m_services.targets.table();
+    for (const auto& [id, target] :
+        current ? current->document.content().targets : control::named<control::target>()) {
+        const auto index = table.find(id);
+        const auto* tracked = m_services.node.membership().table().find(target.address);
+        json load = json::object();
+        if (tracked)
+            load = { { "running", tracked->info.load.running }, { "queued", tracked->info.load.queued },
+                { "bound", tracked->info.load.bound }, { "ramp_step", tracked->info.load.rampStep } };
+        const std::string state = index == routing::noTarget ? "unknown"
+            : table.isEjected(index)                         ? "ejected"
+            : current->document.content().isInService(target, id)
+            ? std::string(routing::nameOf(table.state(index)))
+            : "out_of_service";
+        list.push_back({ { "id", id }, { "domain", target.failureDomain },
+            { "kind", control::nameOf(target.kind) }, { "address", target.address }, { "state", state },
+            { "version", index == routing::noTarget ? "" : table.info(index).version }, { "load", load } });
+    }
+    node::replyJson(exchange, 200, json { { "targets", list } }.dump());
+}
+
+void admin_api::setTarget(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    const auto body = bodyOf(exchange);
+    if (!body)
+        return node::replyError(exchange, body.error());
+    const std::string id = tailOf(exchange, "/admin/targets/");
+    propose(exchange, who,
+        { .baseVersion = body->value("base", m_services.node.config().version()),
+            .changeId = body->value("change_id", ""),
+            .author = {},
+            .kind = control::patch_kind::MergePatch,
+            .body = json { { "drained_targets", { { id, body->at("drained").get<bool>() } } } }.dump() });
+}
+
+void admin_api::addTeam(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    const auto body = bodyOf(exchange);
+    if (!body)
+        return node::replyError(exchange, body.error());
+    const auto name = body->at("team").get<std::string>();
+    const auto issued = operate::issueKey(operate::key_kind::Team, name);
+    if (!issued)
+        return node::replyError(exchange, issued.error());
+    std::array<std::uint8_t, 32> secret {};
+    operate::systemRandomBytes(secret);
+    const json team { { "weight", body->value("weight", 1.0) }, { "burst", body->value("burst", 1.0) },
+        { "key_records", { operate::encodeKeyRecord(issued->record) } },
+        { "block_secret", base::toHex(secret) } };
+    const auto* current = m_services.node.config().current();
+    if (current && current->document.content().teams.contains(name))
+        return node::replyError(exchange,
+            { .reason = base::error_reason::Conflict,
+                .message = fmt::format("the team \"{}\" exists", name),
+                .field = "team" });
+    propose(exchange, who,
+        { .baseVersion = body->value("base", m_services.node.config().version()),
+            .changeId = body->value("change_id", ""),
+            .author = {},
+            .kind = control::patch_kind::MergePatch,
+            .body = json { { "teams", { { name, team } } } }.dump() },
+        json { { "key", issued->key } }.dump());
+}
+
+void admin_api::changeTeam(const node::exchange_ptr& exchange, const operate::operator_identity& who)
+{
+    auto body = json::parse(exchange->body(), nullptr, false);
+    if (!body.is_object())
+        body = json::object();
+    const std::string tail = tailOf(exchange, "/admin/teams/");
+    const auto slash = tail.rfind('/');
+    const std::string name = tail.substr(0, slash);
+    const std::string action = slash == std::string::npos ? "" : tail.substr(slash + 1);
+    const auto* current = m_services.node.config().current();
+    if (!current || !current->document.content().teams.contains(name))
+        return node::replyError(exchange,
+            { .reason = base::error_reason::NotFound,
+                .message = fmt::format("there is no team \"{}\"", name),
+                .field = "team" });
+    const auto& team = current->document.content().teams.find(name)->second;
+    json changed = json::object();
+    json extra = json::object();
+    if (action == "rotate") {
+        const auto issued = operate::issueKey(operate::key_kind::Team, name);
+        std::vector<operate::key_record> records;
+        for (const auto& text : team.keyRecords)
+            if (auto record = operate::parseKeyRecord(text))
+                records.push_back(std::move(*record));
+        json texts = json::array();
+        for (const auto& record :
+            operate::rotateKey(records, issued->record, m_services.node.clock().wallNow(), keyOverlap))
+            texts.push_back(operate::encodeKeyRecord(record));
+        changed["key_records"] = texts;
+        extra["key"] = issued->key;
+    } else if (action == "limit") {
+        for (const auto* field : { "weight", "burst", "limits" })
+            if (body.contains(field))
+                changed[field] = body[field];
+    } else {
+        return node::replyError(exchange,
+            { .reason = base::error_reason::NotFound,
+                .message = "the action must be rotate or limit",
+                .field = "path" });
+    }
+    propose(exchange, who,
+        { .baseVersion = body.value("base", m_services.node.config().version()),
+            .changeId = body.value("change_id", ""),
+            .author = {},
+            .kind = control::patch_kind::MergePatch,
+            .body = json { { "teams", { { name, changed } } } }.dump() },
+        extra.dump());
+}
+
+void admin_api::status(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    json domains = json::object();
+    const auto* current = m_services.node.config().current();
+    for (const auto& [id, tracked] : m_services.node.membership().table().all()) {
+        json& count = domains[tracked.info.failureDomain]["members"][std::string(control::nameOf(m_services.node.membership().stateOf(id)))];
+        count = count.is_null() ? 1 : count.get<int>() + 1;
+    }
+    if (current)
+        for (const auto& [name, domain] : current->document.content().failureDomains)
+            domains[name]["in_service"] = domain.inService;
+    node::replyJson(exchange, 200,
+        json { { "process", m_services.node.settings().process.id }, { "ready", m_services.node.isReady() },
+            { "config_version", m_services.node.config().version() },
+            { "running", m_services.gate.running() }, { "waiting", m_services.gate.waiting() },
+            { "domains", domains } }
+            .dump());
+}
+
+void admin_api::explain(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    const auto record = m_services.explain.find(tailOf(exchange, "/admin/explain/"));
+    if (!record)
+        return node::replyError(exchange,
+            { .reason = base::error_reason::NotFound,
+                .message = "the request is unknown here or was forgotten; ask the entry that served it",
+                .field = "request" });
+    node::replyJson(exchange, 200, *record);
+}
+
+void admin_api::dump(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    const auto process = exchange->query("process");
+    if (!process || *process == m_services.node.settings().process.id
+        || *process == m_services.node.membership().self().id)
+        return node::replyJson(exchange, 200, m_services.node.dump().render());
+    const auto* current = m_services.node.config().current();
+    std::string address = *process;
+    if (current)
+        if (const auto target = current->document.content().targets.find(*process);
+            target != current->document.content().targets.end())
+            address = target->second.address;
+    if (!m_services.node.membership().table().find(address))
+        return node::replyError(exchange,
+            { .reason = base::error_reason::NotFound,
+                .message = "there is no such process",
+                .field = "process" });
+    m_services.node.peers().call(
+        address, "process.dump", "{}", [exchange](const base::result<std::string>& text) {
+            if (!text)
+                return node::replyError(exchange, text.error());
+            node::replyJson(exchange, 200, *text);
+        });
+}
+
+} // namespace marigold::entry
--- /dev/null
+++ b/src/libs/entry/completion_session.cpp
@@ -0,0 +1,567 @@
+#include "completion_session.h"
+
+#include "events.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace marigold::entry {
+
+namespace {
+
+constexpr int bytesPerToken = 4;
+
+/// A stream that is silent for this long is read again from the last piece: its agent may be paused.
+constexpr auto stallLimit = std::chrono::seconds(3);
+
+/// Rounds in which a request waits for a target after every candidate refused it. More would hold requests
+/// that the fleet cannot serve before their deadline.
+constexpr int maxWaits = 3;
+
+constexpr auto longestWait = std::chrono::milliseconds(500);
+constexpr int maxResumes = 4;
+constexpr auto resumeDelay = std::chrono::milliseconds(100);
+
+base::digest128 newId(base::random_source& random)
+{
+    return outcome::randomId(random);
+}
+
+std::optional<outcome::answer_piece> toPiece(const protocol::run_piece& message)
+{
+    const auto attempt = base::digest128FromHex(message.attempt);
+    if (!attempt)
+        return std::nullopt;
+    outcome::answer_piece piece { .attempt = *attempt,
+        .epoch = message.epoch,
+        .sequence = message.sequence,
+        .text = message.text,
+        .tokens = message.tokens };
+    if (message.isFinal) {
+        const auto reason = message.finishReason == "length" ? outcome::finish_reason::Length
+            : message.finishReason == "content_filter"       ? outcome::finish_reason::ContentFilter
+                                                             : outcome::finish_reason::Stop;
+        piece.end = outcome::answer_end { .reason = reason,
+            .usage = { .promptTokens = message.promptTokens,
+                .cachedTokens = message.cachedTokens,
+                .completionTokens = message.completionTokens } };
+    }
+    return piece;
+}
+
+} // namespace
+
+completion_session::completion_session(
+    entry_services& services, completion_request request, node::exchange_ptr exchange)
+    : m_services(services)
+    , m_request(std::move(request))
+    , m_exchange(std::move(exchange))
+    , m_writer(makeCompletionWriter(m_request, m_exchange))
+{
+}
+
+base::result<void> completion_session::check()
+{
+    const control::config_state* current = m_services.node.config().current();
+    if (!current || !m_services.node.config().mayServe())
+        return base::notRun(base::error_reason::Unavailable, "this entry has no configuration yet");
+    const auto& content = current->document.content();
+    const auto team = content.teams.find(m_request.caller.team);
+    if (team == content.teams.end())
+        return base::notRun(base::error_reason::Unauthorized, "the team is unknown");
+    const auto model = content.models.find(m_request.model);
+    if (model == content.models.end())
+        return base::notRun(
+            base::error_reason::NotFound, fmt::format("there is no model \"{}\"", m_request.model), "model");
+    if (!m_request.adapter.empty()) {
+        const auto adapter = model->second.adapters.find(m_request.adapter);
+        if (adapter == model->second.adapters.end()
+            || (!adapter->second.team.empty() && adapter->second.team != m_request.caller.team))
+            return base::notRun(base::error_reason::NotFound,
+                fmt::format("there is no adapter \"{}\"", m_request.adapter), "model");
+    }
+    m_blockSecret = team->second.blockSecret;
+    m_goal = model->second.policy == control::model_policy::FirstToken
+        ? routing::serving_goal::FirstToken
+        : routing::serving_goal::LeastRecomputation;
+    return {};
+}
+
+void completion_session::start()
+{
+    m_services.explain.begin(m_request.caller.requestId, m_request.caller.team, m_request.model);
+    if (const auto checked = check(); !checked)
+        return finish(checked.error());
+    auto work = m_services.node.drain().enter("completion " + m_request.caller.requestId);
+    if (!work)
+        return finish(work.error());
+    m_drainWork = *work;
+    m_exchange->onClosed([self = weak_from_this()] {
+        if (const auto session = self.lock())
+            session->callerGone();
+    });
+    if (!m_request.lastEventId.empty())
+        return startResume();
+    const double cost
+        = static_cast<double>(m_request.prompt.size()) / bytesPerToken + 8.0 * m_request.maxTokens;
+    m_services.gate.enter(m_request.caller.team, cost, m_request.caller.deadline,
+        [self = shared_from_this()](const base::result<void>& admitted) {
+            if (!admitted) {
+                self->m_services.node.metrics().shed(self->m_request.caller.team);
+                return self->finish(admitted.error());
+            }
+            self->m_isAdmitted = true;
+            // The caller may have gone while the request waited.
+            if (self->m_isDone)
+                return self->finish({});
+            self->prepare();
+        });
+}
+
+void completion_session::prepare()
+{
+    const auto& content = m_services.node.config().current()->document.content();
+    const auto firstBlock = std::string_view(m_request.prompt)
+                                .substr(0, static_cast<std::size_t>(m_services.settings.blockBytes));
+    m_version = m_services.targets.versionFor(content, m_request.model, base::hash64(firstBlock));
+    m_services.retryBudget.addRequest();
+    const context::block_scope scope { .teamSecret = m_blockSecret,
+        .model = m_request.model,
+        .weightVersion = m_version,
+        .adapter = m_request.adapter };
+    m_services.contexts.find(scope, m_request.caller.team, m_request.prompt,
+        [self = shared_from_this()](
+            base::result<prompt_context> found) { self->prepared(std::move(found)); });
+}
+
+void completion_session::prepared(base::result<prompt_context> found)
+{
+    if (m_isDone)
+        return;
+    if (!found)
+        return finish(found.error());
+    m_context = std::move(*found);
+    routeNext();
+}
+
+void completion_session::routeNext()
+{
+    if (m_isDone)
+        return;
+    const int blockTokens = m_services.settings.blockBytes / bytesPerToken;
+    int knownTokens = m_context.keptBlocks * blockTokens;
+    for (const auto& hint : m_context.hints)
+        knownTokens = std::max(knownTokens, hint.tokens);
+    const routing::route_request wanted {
+        .policy = routing::routing_policy::Prompt,
+        .kind = routing::target_kind::Engine,
+        .model = m_request.model,
+        .version = m_version,
+        .goal = m_goal,
+        .size = { .promptTokens = static_cast<int>(m_request.prompt.size()) / bytesPerToken,
+            .prefixTokens = knownTokens },
+        .prefixKey = m_context.chain.empty() ? 0 : m_context.chain.front().high(),
+        .hints = m_context.hints,
+        .kept = { .tokens = m_context.keptBlocks * blockTokens, .transferTime = m_context.transferTime },
+        .tried = m_tried,
+    };
+    const auto decision = m_services.router.route(wanted, m_services.node.clock().now());
+    operate::explain_decision record { .at = elapsed() };
+    for (const auto& item : decision.candidates())
+        record.candidates.push_back({ .target = m_services.targets.table().info(item.target).id,
+            .costMs = item.cost.firstTokenSeconds * 1000,
+            .reason = m_services.router.explain(item) });
+    if (!decision.empty())
+        record.chosen = record.candidates.front().target;
+    m_services.explain.addDecision(m_request.caller.requestId, std::move(record));
+    if (decision.empty())
+        return waitForTarget({ .verdict = base::verdict::NotRun,
+            .reason = base::error_reason::Unavailable,
+            .message = "no target can take the request now",
+            .retryAfter = std::chrono::seconds(1) });
+    sendRun(decision.candidates().front());
+}
+
+protocol::run_request completion_session::runRequest(const routing::candidate& chosen) const
+{
+    protocol::run_request request {
+        .run = m_run,
+        .attempt = base::toHex(m_attempt->id()),
+        .epoch = m_attempt->epoch(),
+        .team = m_request.caller.team,
+        .owner = m_services.node.membership().self().id,
+        .model = m_request.model,
+        .version = m_version,
+        .prompt = m_request.prompt,
+        .maxTokens = m_request.maxTokens,
+        .temperature = m_request.temperature,
+        .priority = static_cast<int>(m_request.caller.priority),
+        .remaining = remaining(),
+        .cacheSalt = m_context.cacheSalt,
+    };
+    for (const auto& key : m_context.chain)
+        request.blockKeys.push_back(key.hex());
+    if (chosen.cost.action == routing::context_action::Load) {
+        request.loadBlocks = m_context.keptBlocks;
+        request.loadFrom = m_context.keptAt;
+    }
+    if (static_cast<std::size_t>(m_context.keptBlocks) < m_context.chain.size())
+        request.saveTo = m_context.saveTo;
+    return request;
+}
+
+void completion_session::sendRun(const routing::candidate& chosen)
+{
+    if (!m_attempt) {
+        m_attempt.emplace(m_services.node.random());
+        m_merger.emplace(*m_attempt);
+    } else {
+        m_attempt = m_attempt->restarted(m_services.node.random());
+        if (const auto step = m_merger->restart(*m_attempt); step.broken)
+            return finish(*step.broken);
+    }
+    m_run = base::toHex(newId(m_services.node.random()));
+    m_place = { .attempt = m_attempt->id(), .epoch = m_attempt->epoch() };
+    m_target = chosen.target;
+    m_tried.push_back(chosen.target);
+    m_expectedSeconds = std::max(chosen.cost.firstTokenSeconds, 0.001);
+    m_ticket = m_services.targets.table().recordChoice(
+        chosen.target, chosen.cost.prefillTokens, m_services.node.clock().now());
+    m_tally.started();
+    ++m_attemptsMade;
+    openStream({ .to = m_services.targets.addressOf(m_target),
+        .method = "POST",
+        .target = "/agent/run",
+        .body = runRequest(chosen).encode(),
+        .timeout = remaining(),
+        .freshConnection = false });
+}
+
+void completion_session::startResume()
+{
+    const auto token = m_services.resumeTokens.decode(m_request.lastEventId, m_request.caller.team);
+    if (!token)
+        return finish(token.error());
+    m_run = base::toHex(token->run);
+    m_target = m_services.targets.find(token->target);
+    if (m_target == routing::noTarget)
+        return finish({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::StreamBroken,
+            .message = "the target of the stream is gone",
+            .field = "Last-Event-ID" });
+    const outcome::resume_request place {
+        .attempt = token->attempt, .epoch = token->epoch, .afterSequence = token->sequence
+    };
+    m_place = place;
+    m_merger.emplace(place, outcome::stream_merger::options {});
+    m_tally.started();
+    ++m_attemptsMade;
+    sendResume(place);
+}
+
+void completion_session::sendResume(const outcome::resume_request& place)
+{
+    const protocol::resume_message message { .run = m_run,
+        .attempt = base::toHex(place.attempt),
+        .epoch = place.epoch,
+        .team = m_request.caller.team,
+        .owner = m_services.node.membership().self().id,
+        .afterSequence = place.afterSequence };
+    ++m_resumes;
+    openStream({ .to = m_services.targets.addressOf(m_target),
+        .method = "POST",
+        .target = "/agent/resume",
+        .body = message.encode(),
+        .timeout = remaining(),
+        .freshConnection = true });
+}
+
+void completion_session::openStream(net::http_call call)
+{
+    m_services.node.peers().cancel(m_call);
+    const std::uint64_t number = ++m_attemptNumber;
+    m_decoder = {};
+    m_streamError.reset();
+    m_attemptStart = m_services.node.clock().now();
+    m_lastPiece = m_attemptStart;
+    const auto self = shared_from_this();
+    call.onHeaders = [self, number](int, const net::http_headers& headers) {
+        if (number == self->m_attemptNumber)
+            self->m_services.targets.reported(
+                self->m_target, headers.find(protocol::loadHeader).value_or(""));
+    };
+    call.onData = [self, number](std::string_view bytes) { self->bytesArrived(number, bytes); };
+    m_call = m_services.node.peers().send(std::move(call),
+        [self, number](const base::result<net::http_response>& answer) { self->callEnded(number, answer); });
+    watchStall();
+}
+
+void completion_session::watchStall()
+{
+    m_services.node.loop().cancel(m_stallTimer);
+    m_stallTimer
+        = m_services.node.loop().runAfter(stallLimit, [self = weak_from_this(), number = m_attemptNumber] {
+              const auto session = self.lock();
+              if (!session || session->m_isDone || number != session->m_attemptNumber)
+                  return;
+              const base::duration silent = session->m_services.node.clock().now() - session->m_lastPiece;
+              // Before its first piece a run may wait in the agent's queue; then only a dead agent ends the
+              // wait.
+              const auto state = session->m_services.node.membership().stateOf(
+                  session->m_services.targets.addressOf(session->m_target).text());
+              const bool isSuspect
+                  = state != control::member_state::Alive && state != control::member_state::Leaving;
+              if (silent < stallLimit || (!session->m_merger->hasDelivered() && !isSuspect))
+                  return session->watchStall();
+              session->m_services.node.peers().cancel(session->m_call);
+              ++session->m_attemptNumber;
+              session->attemptFailed({ .verdict = base::verdict::MayHaveRun,
+                                         .reason = base::error_reason::StreamBroken,
+                                         .message = "the target is silent" },
+                  true);
+          });
+}
+
+void completion_session::bytesArrived(std::uint64_t attemptNumber, std::string_view bytes)
+{
+    if (m_isDone || attemptNumber != m_attemptNumber)
+        return;
+    m_lastPiece = m_services.node.clock().now();
+    const auto self = shared_from_this();
+    for (const auto& event : m_decoder.feed(bytes)) {
+        take(event);
+        if (m_isDone || attemptNumber != m_attemptNumber)
+            return;
+    }
+    constexpr std::size_t maxEventBytes = 4 << 20;
+    if (m_decoder.isOversized(maxEventBytes))
+        m_streamError = base::error { .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::StreamBroken,
+            .message = "the agent sent an oversized event" };
+}
+
+void completion_session::take(const net::event_stream_decoder::event& event)
+{
+    if (event.name == "load")
+        return m_services.targets.reported(m_target, event.data);
+    if (event.name == "error") {
+        m_streamError = protocol::decodeError(event.data,
+            { .verdict = base::verdict::MayHaveRun,
+                .reason = base::error_reason::StreamBroken,
+                .message = "the agent sent a broken error" });
+        return;
+    }
+    const auto message = protocol::run_piece::decode(event.data);
+    auto piece = message ? toPiece(*message) : std::nullopt;
+    if (piece)
+        advance(m_merger->take(std::move(*piece)));
+}
+
+void completion_session::advance(const outcome::merge_step& step)
+{
+    for (const auto& piece : step.deliver) {
+        if (m_isDone)
+            return;
+        const base::time_point now = m_services.node.clock().now();
+        if (piece.sequence == 1)
+            m_services.node.metrics().timeToFirstToken(m_request.caller.team, now - m_request.caller.arrival);
+        m_writer->piece(piece, eventId(piece.sequence));
+        if (piece.end) {
+            m_services.node.metrics().promptTokens(m_request.caller.team, piece.end->usage.promptTokens,
+                piece.end->usage.promptTokens - piece.end->usage.cachedTokens);
+            return complete();
+        }
+    }
+    if (step.broken)
+        return finish(*step.broken);
+    if (step.resume && m_resumes < maxResumes)
+        sendResume(*step.resume);
+}
+
+std::string completion_session::eventId(std::uint64_t sequence) const
+{
+    const outcome::resume_token token { .run = *base::digest128FromHex(m_run), .attempt = m_place.attempt, .epoch = m_place.epoch, .sequence = sequence, .target = m_services.targets.table().info(m_target).id };
+    return m_services.resumeTokens.encode(token, m_request.caller.team);
+}
+
+void completion_session::callEnded(
+    std::uint64_t attemptNumber, const base::result<net::http_response>& answer)
+{
+    if (m_isDone || attemptNumber != m_attemptNumber)
+        return;
+    m_call = 0;
+    if (!answer)
+        return attemptFailed(answer.error(), answer.error().verdict == base::verdict::MayHaveRun);
+    if (answer->status != 200) {
+        const base::error fallback { .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Unavailable,
+            .message = fmt::format("the agent answered with status {}", answer->status) };
+        return attemptFailed(protocol::decodeError(answer->body, fallback), false);
+    }
+    if (m_streamError)
+        return attemptFailed(*m_streamError, false);
+    attemptFailed({ .verdict = base::verdict::MayHaveRun,
+                      .reason = base::error_reason::StreamBroken,
+                      .message = "the agent's stream ended early" },
+        true);
+}
+
+void completion_session::closeAttempt(bool failed)
+{
+    if (m_ticket.target == routing::noTarget)
+        return;
+    const base::time_point now = m_services.node.clock().now();
+    m_services.targets.table().recordEnd(m_ticket, now);
+    const double seconds = std::chrono::duration<double>(now - m_attemptStart).count();
+    m_services.targets.observe(m_ticket.target, failed, seconds / m_expectedSeconds);
+    m_ticket = {};
+}
+
+void completion_session::attemptFailed(base::error problem, bool isRunHeld)
+{
+    const bool isRefusal
+        = problem.verdict == base::verdict::NotRun && problem.reason != base::error_reason::Unavailable;
+    m_services.explain.addAttempt(m_request.caller.requestId,
+        { .target = m_services.targets.table().info(m_target).id,
+            .start = m_attemptStart - m_request.caller.arrival,
+            .elapsed = m_services.node.clock().now() - m_attemptStart,
+            .verdict = problem.verdict,
+            .reason = std::string(base::nameOf(problem.reason)) });
+    const bool canResume = isRunHeld && m_merger && m_merger->resumeRequest() && m_resumes < maxResumes;
+    if (!canResume) {
+        m_tally.failed(problem);
+        closeAttempt(!isRefusal && problem.reason != base::error_reason::Unavailable);
+    }
+    // A refusal costs the target nothing, so that the next candidate is tried outside the retry budget.
+    const bool isCheap = problem.verdict == base::verdict::NotRun
+        && (problem.reason == base::error_reason::Overloaded
+            || problem.reason == base::error_reason::Unavailable);
+    if (isCheap && !m_merger->hasDelivered() && m_attempt) {
+        --m_attemptsMade;
+        if (m_tried.size() < routing::route_decision::capacity)
+            return routeNext();
+        return waitForTarget(problem);
+    }
+    const outcome::failed_attempt failure {
+        .kind = outcome::call_kind::Stream,
+        .verdict = problem.verdict,
+        .runResumable = canResume,
+        .delivered = m_merger && m_merger->hasDelivered(),
+        .temperatureZero = m_request.temperature == 0,
+        .sameVersion = m_merger && m_merger->canRestart(),
+        .attemptsMade = m_attemptsMade,
+        .remaining = remaining(),
+        .retryAfter = problem.retryAfter,
+        .budgetAllows = m_services.retryBudget.available() > 0,
+    };
+    const auto decision = m_services.retryPolicy.decide(failure);
+    m_services.node.log().write(events::attemptFailed,
+        { { "request", m_request.caller.requestId },
+            { "target", m_services.targets.table().info(m_target).id },
+            { "verdict", std::string(base::nameOf(problem.verdict)) }, { "message", problem.message },
+            { "next", std::string(outcome::nameOf(decision.action)) } });
+    tryAgain(decision, problem);
+}
+
+void completion_session::tryAgain(const outcome::retry_decision& decision, const base::error& problem)
+{
+    switch (decision.action) {
+    case outcome::retry_action::GiveUp:
+        return finish(m_merger && m_merger->hasDelivered() ? problem : m_tally.finalError());
+    case outcome::retry_action::Resume: {
+        m_services.node.metrics().retry(operate::retry_kind::Retry);
+        const auto delay = resumeDelay * m_resumes;
+        m_services.node.loop().runAfter(delay, [self = shared_from_this(), number = m_attemptNumber] {
+            if (!self->m_isDone && number == self->m_attemptNumber)
+                self->sendResume(*self->m_merger->resumeRequest());
+        });
+        return;
+    }
+    case outcome::retry_action::Retry:
+    case outcome::retry_action::Restart:
+        break;
+    }
+    // A resumed stream of another entry has no prompt context, which a new run needs.
+    if (!m_attempt || !m_services.retryBudget.tryRetry())
+        return finish(problem);
+    m_services.node.metrics().retry(operate::retry_kind::Retry);
+    m_resumes = 0;
+    routeNext();
+}
+
+void completion_session::waitForTarget(const base::error& problem)
+{
+    m_tried.clear();
+    const auto wait = std::clamp<std::chrono::milliseconds>(
+        problem.retryAfter, std::chrono::milliseconds(20), longestWait);
+    const auto jitter
+        = std::chrono::milliseconds(m_services.node.random().below(static_cast<std::uint64_t>(wait.count())));
+    if (++m_waits > maxWaits || wait + jitter >= remaining())
+        return finish(m_attempt ? m_tally.finalError() : problem);
+    m_services.node.loop().runAfter(wait + jitter, [self = shared_from_this()] { self->routeNext(); });
+}
+
+void completion_session::complete()
+{
+    m_services.explain.addAttempt(m_request.caller.requestId,
+        { .target = m_services.targets.table().info(m_target).id,
+            .start = m_attemptStart - m_request.caller.arrival,
+            .elapsed = m_services.node.clock().now() - m_attemptStart,
+            .verdict = base::verdict::Ran });
+    closeAttempt(false);
+    if (!m_context.chain.empty())
+        m_services.contexts.served(m_context.chain, m_target);
+    m_services.explain.finish(m_request.caller.requestId, base::verdict::Ran, "");
+    m_services.node.metrics().outcome(base::verdict::Ran, std::nullopt);
+    m_isDone = true;
+    if (m_isAdmitted)
+        m_services.gate.leave();
+    m_services.node.drain().leave(m_drainWork);
+    m_services.node.loop().cancel(m_stallTimer);
+}
+
+void completion_session::finish(const base::error& problem)
+{
+    const bool wasDone = m_isDone;
+    m_isDone = true;
+    if (m_isAdmitted)
+        m_services.gate.leave();
+    m_isAdmitted = false;
+    if (wasDone)
+        return;
+    closeAttempt(false);
+    m_services.node.loop().cancel(m_stallTimer);
+    m_services.node.peers().cancel(m_call);
+    m_services.explain.finish(m_request.caller.requestId, problem.verdict, base::nameOf(problem.reason));
+    m_services.node.metrics().outcome(problem.verdict, problem.reason);
+    m_services.node.log().write(events::requestFailed,
+        { { "request", m_request.caller.requestId }, { "team", m_request.caller.team },
+            { "verdict", std::string(base::nameOf(problem.verdict)) },
+            { "reason", std::string(base::nameOf(problem.reason)) }, { "message", problem.message } });
+    if (m_writer->isOpen())
+        m_writer->failed(problem);
+    m_services.node.drain().leave(m_drainWork);
+}
+
+void completion_session::callerGone()
+{
+    if (m_isDone)
+        return;
+    // A stream may be continued through another entry, so that the agent keeps it for its grace period; a
+    // whole answer has no place to be continued from.
+    if (!m_request.isStream && m_target != routing::noTarget) {
+        const nlohmann::json body { { "run", m_run }, { "team", m_request.caller.team } };
+        m_services.node.peers().send({ .to = m_services.targets.addressOf(m_target),
+                                         .method = "POST",
+                                         .target = "/agent/cancel",
+                                         .body = body.dump() },
+            [](const auto&) {});
+    }
+    finish({ .verdict = base::verdict::MayHaveRun,
+        .reason = base::error_reason::DeadlineExceeded,
+        .message = "the caller has gone" });
+}
+
+} // namespace marigold::entry
--- /dev/null
+++ b/src/libs/entry/context_finder.cpp
@@ -0,0 +1,118 @@
+#include "context_finder.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace marigold::entry {
+
+namespace {
+
+constexpr int bytesPerToken = 4;
+
+/// A store that has not answered by then is treated as holding nothing; recomputation must not wait for it.
+constexpr auto lookupTimeout = std::chrono::milliseconds(40);
+
+} // namespace
+
+context_finder::context_finder(
+    node::fleet_node& node, target_directory& targets, const entry_settings& settings)
+    : m_node(node)
+    , m_targets(targets)
+    , m_settings(settings)
+    , m_hints({ .maximumBytes = static_cast<std::size_t>(settings.hintBytes), .log = &node.log() })
+{
+}
+
+void context_finder::find(const context::block_scope& scope, std::string_view team, std::string_view prompt,
+    std::function<void(base::result<prompt_context>)> done)
+{
+    const auto found = std::make_shared<prompt_context>();
+    auto chain = context::blockKeyChain(scope, prompt, static_cast<std::size_t>(m_settings.blockBytes));
+    if (!chain)
+        return done(tl::unexpected(chain.error()));
+    found->chain = std::move(*chain);
+    found->cacheSalt = base::toHex(base::truncate(base::hmacSha256(scope.teamSecret,
+        fmt::format("{}/{}/{}/{}", team, scope.model, scope.weightVersion, scope.adapter))));
+    if (found->chain.empty())
+        return done(std::move(*found));
+    const auto hints = m_hints.lookup(found->chain);
+    int deepest = 0;
+    for (const auto& hint : hints.all()) {
+        found->hints.push_back({ .target = hint.target,
+            .tokens = static_cast<int>(hint.blocks) * m_settings.blockBytes / bytesPerToken });
+        deepest = std::max(deepest, static_cast<int>(hint.blocks));
+    }
+    askStores(found, std::move(done));
+}
+
+void context_finder::askStores(
+    const std::shared_ptr<prompt_context>& found, std::function<void(base::result<prompt_context>)> done)
+{
+    const auto stores = m_targets.stores();
+    std::vector<context::store_state> states;
+    for (const auto& store : stores)
+        states.push_back({ .name = store.address,
+            .inService = store.isInService,
+            .full = store.isFull,
+            .loadBytes = store.usedBytes });
+    const context::placement placement(states);
+    const auto choice = placement.choose(found->chain.front());
+    if (choice.write)
+        found->saveTo = stores[*choice.write].address;
+    if (choice.read.empty())
+        return done(std::move(*found));
+
+    nlohmann::json keys = nlohmann::json::array();
+    for (const auto& key : found->chain)
+        keys.push_back(key.hex());
+    const std::string body = nlohmann::json { { "keys", keys } }.dump();
+    const auto waiting = std::make_shared<std::size_t>(choice.read.size());
+    for (const auto index : choice.read) {
+        const std::string address = stores[index].address;
+        const auto to = net::endpoint::parse(address).value_or(net::endpoint {});
+        m_node.peers().send({ .to = to,
+                                .method = "POST",
+                                .target = "/agent/blocks/lookup",
+                                .body = body,
+                                .timeout = lookupTimeout,
+                                .connectTimeout = lookupTimeout },
+            [this, found, address, waiting, done](const base::result<net::http_response>& answer) {
+                takeAnswer(*found, address, answer);
+                if (--*waiting == 0)
+                    done(std::move(*found));
+            });
+    }
+}
+
+void context_finder::takeAnswer(
+    prompt_context& found, const std::string& store, const base::result<net::http_response>& answer) const
+{
+    const auto value = answer && answer->status == 200 ? nlohmann::json::parse(answer->body, nullptr, false)
+                                                       : nlohmann::json();
+    if (!value.is_object())
+        return;
+    const int held = value.value("held", 0);
+    if (held <= found.keptBlocks || static_cast<std::size_t>(held) > found.chain.size())
+        return;
+    found.keptBlocks = held;
+    found.keptAt = store;
+    const double bytes
+        = value.value("bytes", static_cast<double>(held) * static_cast<double>(m_settings.blockContentBytes));
+    const double speed = value.value("link_bytes_per_second", m_settings.linkBytesPerSecond);
+    found.transferTime = std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(bytes / std::max(speed, 1.0)));
+}
+
+void context_finder::served(std::span<const context::block_key> chain, routing::target_index target)
+{
+    m_hints.recordAnswer(chain, static_cast<context::target_id>(target));
+}
+
+void context_finder::forgetTarget(routing::target_index target)
+{
+    m_hints.forgetTarget(static_cast<context::target_id>(target));
+}
+
+} // namespace marigold::entry
--- /dev/null
+++ b/src/libs/entry/entry_settings.cpp
@@ -0,0 +1,35 @@
+#include "entry_settings.h"
+
+namespace marigold::entry {
+
+void entry_settings::registerSettings(settings::settings_reader& reader)
+{
+    node.registerSettings(reader);
+    reader.add("entry.public_address", &publicAddress,
+        { .description = "Address for callers and operators.",
+            .format = settings::setting_format::IpAddress });
+    reader.add("entry.public_port", &publicPort, { .description = "TCP port for callers and operators." });
+    reader.add("entry.max_body_bytes", &maxBodyBytes,
+        { .description = "Longest request body.", .unit = "B", .minimum = 1024, .maximum = 1 << 30 });
+    reader.add("entry.block_bytes", &blockBytes,
+        { .description = "Prompt bytes of one cached block; the same in the whole fleet.",
+            .unit = "B",
+            .minimum = 16,
+            .maximum = 1 << 20 });
+    reader.add("entry.hint_bytes", &hintBytes,
+        { .description = "Memory for hints about the caches of engines.", .unit = "B", .minimum = 1 << 16 });
+    reader.add("entry.default_deadline_ms", &defaultDeadline,
+        { .description = "Deadline of a request without X-Deadline-Ms.", .minimum = 1 });
+    reader.add("entry.queue_capacity", &queueCapacity,
+        { .description = "Requests that wait for their team's turn.", .minimum = 1, .maximum = 1'000'000 });
+    reader.add("entry.link_bytes_per_second", &linkBytesPerSecond,
+        { .description = "Speed assumed for the link of a store until it reports.",
+            .unit = "B/s",
+            .minimum = 1 });
+    reader.add("entry.block_content_bytes", &blockContentBytes,
+        { .description = "Size assumed for a cached block until a store reports.",
+            .unit = "B",
+            .minimum = 1 });
+}
+
+} // namespace marigold::entry
--- /dev/null
+++ b/src/libs/entry/entry_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <node/node.h>
+#include <settings/settings.h>
+
+#include <string>
+
+namespace marigold::entry {
+
+/// Settings of an entry; section `entry` besides those of every process.
+struct entry_settings {
+    node::node_settings node;
+    std::string publicAddress = "127.0.0.1";
+    std::uint16_t publicPort = 8000; ///< Callers and operators; `process.listen_port` is for the fleet.
+    std::int64_t maxBodyBytes = 8 << 20;
+    std::int32_t blockBytes = 4096; ///< Prompt bytes of one cached block; the same in the whole fleet.
+    std::int64_t hintBytes = 16 << 20;
+    base::duration defaultDeadline = std::chrono::seconds(60);
+    std::int32_t queueCapacity = 10'000;
+    double linkBytesPerSecond = 200e6; ///< Assumed speed of the links to the stores until a store reports.
+    std::int64_t blockContentBytes = 16384; ///< Assumed size of a cached block until a store reports.
+
+    void registerSettings(settings::settings_reader& reader);
+};
+
+} // namespace marigold::entry
--- /dev/null
+++ b/src/libs/entry/service_session.cpp
@@ -0,0 +1,223 @@
+#include "service_session.h"
+
+#include "events.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace marigold::entry {
+
+namespace {
+
+constexpr std::string_view servicesPath = "/services/";
+
+/// Refusals that another agent may not repeat: they are about the agent, not about the call.
+bool isAboutAgent(const base::error& problem)
+{
+    return problem.reason == base::error_reason::Overloaded
+        || problem.reason == base::error_reason::Unavailable
+        || problem.reason == base::error_reason::Unauthorized
+        || problem.reason == base::error_reason::StreamBroken
+        || problem.reason == base::error_reason::DeadlineExceeded;
+}
+
+} // namespace
+
+service_session::service_session(entry_services& services, caller_context caller, node::exchange_ptr exchange)
+    : m_services(services)
+    , m_caller(std::move(caller))
+    , m_exchange(std::move(exchange))
+{
+}
+
+base::result<void> service_session::readCall()
+{
+    const std::string_view rest = m_exchange->path().substr(servicesPath.size());
+    const auto slash = rest.find('/');
+    m_call = { .team = m_caller.team,
+        .service = std::string(rest.substr(0, slash)),
+        .method = std::string(m_exchange->method()),
+        .path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash)),
+        .contentType = std::string(m_exchange->header("Content-Type").value_or("application/octet-stream")),
+        .idempotencyKey = std::string(m_exchange->header("Idempotency-Key").value_or("")) };
+    const control::config_state* current = m_services.node.config().current();
+    if (!current || !m_services.node.config().mayServe())
+        return base::notRun(base::error_reason::Unavailable, "this entry has no configuration yet");
+    const auto& services = current->document.content().services;
+    const auto found = services.find(m_call.service);
+    if (found == services.end())
+        return base::notRun(
+            base::error_reason::NotFound, fmt::format("there is no service \"{}\"", m_call.service), "path");
+    m_isIdempotent = std::any_of(
+        found->second.idempotent.begin(), found->second.idempotent.end(), [&](const std::string& rule) {
+            return rule == m_call.method || (rule.starts_with('/') && m_call.path.starts_with(rule));
+        });
+    if (m_isIdempotent)
+        return {};
+    if (m_call.idempotencyKey.empty())
+        return base::notRun(base::error_reason::InvalidRequest,
+            "this call must not run twice and needs an Idempotency-Key, a UUIDv7", "Idempotency-Key");
+    const auto key = outcome::parseIdempotencyKey(m_call.idempotencyKey);
+    if (!key)
+        return tl::unexpected(key.error());
+    return {};
+}
+
+void service_session::start()
+{
+    const auto read = readCall();
+    m_services.explain.begin(m_caller.requestId, m_caller.team, m_call.service);
+    if (!read)
+        return finish(read.error());
+    const auto work = m_services.node.drain().enter("call " + m_caller.requestId);
+    if (!work)
+        return finish(work.error());
+    m_drainWork = *work;
+    m_services.retryBudget.addRequest();
+    attempt();
+}
+
+routing::target_index service_session::chooseTarget()
+{
+    routing::route_request wanted { .policy = routing::routing_policy::IdempotentCall,
+        .kind = routing::target_kind::Service,
+        .model = m_call.service,
+        .tried = m_tried };
+    if (!m_isIdempotent) {
+        auto agents = m_services.targets.serviceAgents(m_call.service);
+        std::erase_if(agents, [&](const std::string& address) {
+            return std::find(m_tried.begin(), m_tried.end(), m_services.targets.findByAddress(address))
+                != m_tried.end();
+        });
+        if (agents.empty())
+            return routing::noTarget;
+        const auto key = outcome::parseIdempotencyKey(m_call.idempotencyKey);
+        const auto shard
+            = outcome::claim_ledger::shardOf(m_caller.team, *key, outcome::claim_ledger::defaultShards);
+        wanted.policy = routing::routing_policy::HomeCall;
+        wanted.home
+            = m_services.targets.findByAddress(outcome::claim_ledger::homeOf(m_call.service, shard, agents));
+    }
+    const auto decision = m_services.router.route(wanted, m_services.node.clock().now());
+    operate::explain_decision record { .at = m_services.node.clock().now() - m_caller.arrival };
+    for (const auto& item : decision.candidates())
+        record.candidates.push_back({ .target = m_services.targets.table().info(item.target).id,
+            .costMs = item.cost.firstTokenSeconds * 1000,
+            .reason = m_services.router.explain(item) });
+    if (!decision.empty())
+        record.chosen = record.candidates.front().target;
+    m_services.explain.addDecision(m_caller.requestId, std::move(record));
+    return decision.empty() ? routing::noTarget : decision.candidates().front().target;
+}
+
+void service_session::attempt()
+{
+    m_target = chooseTarget();
+    if (m_target == routing::noTarget) {
+        const base::error none { .verdict = base::verdict::NotRun,
+            .reason = base::error_reason::Unavailable,
+            .message = "no target can take the call now",
+            .retryAfter = std::chrono::seconds(1) };
+        return finish(m_attemptsMade > 0 ? m_tally.finalError() : none);
+    }
+    m_tried.push_back(m_target);
+    ++m_attemptsMade;
+    m_tally.started();
+    const auto kind = m_isIdempotent ? outcome::call_kind::Idempotent : outcome::call_kind::NonIdempotent;
+    const base::duration limit = m_services.retryPolicy.attemptTimeout(kind, m_attemptsMade, remaining());
+    m_call.remaining = limit;
+    m_ticket = m_services.targets.table().recordChoice(m_target, 0, m_services.node.clock().now());
+    m_attemptStart = m_services.node.clock().now();
+    net::http_call call { .to = m_services.targets.addressOf(m_target),
+        .method = "POST",
+        .target = "/agent/call",
+        .headers = { { std::string(protocol::callHeader), m_call.encode() } },
+        .body = std::string(m_exchange->body()),
+        .timeout = limit,
+        .freshConnection = !m_isIdempotent };
+    m_services.node.peers().send(
+        std::move(call), [self = shared_from_this()](const base::result<net::http_response>& answer) {
+            self->answered(answer);
+        });
+}
+
+void service_session::answered(const base::result<net::http_response>& answer)
+{
+    const base::time_point now = m_services.node.clock().now();
+    m_services.targets.table().recordEnd(m_ticket, now);
+    if (!answer)
+        return attemptFailed(answer.error());
+    const auto replayed = answer->headers.find(protocol::replayedHeader);
+    if (!replayed) {
+        // Only the agent's own refusals lack the header; they carry a verdict.
+        const base::error fallback { .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Unavailable,
+            .message = fmt::format("the agent answered with status {}", answer->status) };
+        return attemptFailed(protocol::decodeError(answer->body, fallback));
+    }
+    m_services.targets.observe(m_target, false, 1.0);
+    m_services.explain.addAttempt(m_caller.requestId,
+        { .target = m_services.targets.table().info(m_target).id,
+            .start = m_attemptStart - m_caller.arrival,
+            .elapsed = now - m_attemptStart,
+            .verdict = base::verdict::Ran });
+    m_exchange->reply({ .status = answer->status,
+        .headers
+        = { { "Content-Type",
+                std::string(answer->headers.find("Content-Type").value_or("application/octet-stream")) },
+            { "X-Request-Id", m_caller.requestId },
+            { "Idempotency-Replayed", *replayed == "1" ? "true" : "false" } },
+        .body = answer->body });
+    end(base::verdict::Ran, "");
+}
+
+void service_session::attemptFailed(const base::error& problem)
+{
+    m_tally.failed(problem);
+    const bool isRefusal
+        = problem.verdict == base::verdict::NotRun && problem.reason != base::error_reason::Unavailable;
+    if (!isRefusal)
+        m_services.targets.observe(m_target, true, 1.0);
+    m_services.explain.addAttempt(m_caller.requestId,
+        { .target = m_services.targets.table().info(m_target).id,
+            .start = m_attemptStart - m_caller.arrival,
+            .elapsed = m_services.node.clock().now() - m_attemptStart,
+            .verdict = problem.verdict,
+            .reason = std::string(base::nameOf(problem.reason)) });
+    if (!isAboutAgent(problem))
+        return finish(m_tally.finalError());
+    const auto kind = m_isIdempotent ? outcome::call_kind::Idempotent : outcome::call_kind::NonIdempotent;
+    const auto decision = m_services.retryPolicy.decide({ .kind = kind,
+        .verdict = m_isIdempotent ? problem.verdict : m_tally.verdict(),
+        .attemptsMade = m_attemptsMade,
+        .remaining = remaining(),
+        .budgetAllows = m_services.retryBudget.available() > 0 });
+    if (decision.action != outcome::retry_action::Retry || !m_services.retryBudget.tryRetry())
+        return finish(m_tally.finalError());
+    m_services.node.metrics().retry(operate::retry_kind::Retry);
+    attempt();
+}
+
+void service_session::finish(const base::error& problem)
+{
+    if (m_isDone)
+        return;
+    m_services.node.log().write(events::requestFailed,
+        { { "request", m_caller.requestId }, { "team", m_caller.team },
+            { "verdict", std::string(base::nameOf(problem.verdict)) },
+            { "reason", std::string(base::nameOf(problem.reason)) }, { "message", problem.message } });
+    node::replyError(m_exchange, problem, { { "X-Request-Id", m_caller.requestId } });
+    end(problem.verdict, base::nameOf(problem.reason));
+}
+
+void service_session::end(base::verdict verdict, std::string_view reason)
+{
+    m_isDone = true;
+    m_services.explain.finish(m_caller.requestId, verdict, reason);
+    m_services.node.metrics().outcome(
+        verdict, reason.empty() ? std::nullopt : std::optional(base::reasonFromString(reason)));
+    m_services.node.drain().leave(m_drainWork);
+}
+
+} // namespace marigold::entry
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -75,8 +75,7 @@
         base::timer_id timeout = 0;
         base::timer_id connectTimeout = 0;
         bool sawConnection = false;
-        bool tooLarge = false;
-        std::size_t received = 0;
+        std::string errorBody; ///< Of an answer with another status than 200, while `onData` is set.
     };
 
     event_loop& loop;
@@ -161,6 +160,11 @@
 void http_client::private_data::pieceArrived(evhttp_request* request, void* argument)
 {
     auto* entry = static_cast<running_call*>(argument);
+    constexpr int okStatus = 200;
+    if (evhttp_request_get_response_code(request) != okStatus) {
+        entry->errorBody += bufferText(evhttp_request_get_input_buffer(request));
+        return;
+    }
     // The callback may cancel this call, which frees the entry.
     const auto onData = entry->call.onData;
     onData(bufferText(evhttp_request_get_input_buffer(request)));
@@ -183,8 +187,8 @@
     http_response response {
         .status = evhttp_request_get_response_code(request), .headers = headersOf(request), .body = {}
     };
-    if (!entry->call.onData)
-        response.body = bufferText(evhttp_request_get_input_buffer(request));
+    response.body = entry->call.onData ? std::move(entry->errorBody)
+                                       : bufferText(evhttp_request_get_input_buffer(request));
     const auto held = self->remove(entry->id);
     const auto close = response.headers.find("Connection");
     if (close && *close == "close")
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -21,7 +21,8 @@
     /// request was seen. A fresh one tells a refused connection (`NotRun`) from a lost answer (`MayHaveRun`).
     bool freshConnection = false;
     std::function<void(int status, const http_headers& headers)> onHeaders = {};
-    std::function<void(std::string_view piece)> onData = {}; ///< When set, the body is not collected.
+    std::function<void(std::string_view piece)> onData
+        = {}; ///< Takes the body of an answer with status 200; others are collected.
 };
 
 using call_id = std::uint64_t;
--- a/src/libs/node/depends.cmake
+++ b/src/libs/node/depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS marigold_base marigold_net marigold_settings marigold_platform fmt)
+set(DEPENDS marigold_base marigold_net marigold_settings marigold_platform marigold_control marigold_outcome marigold_operate marigold_protocol fmt)
--- /dev/null
+++ b/src/libs/node/events.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <base/event_log.h>
+
+#include <array>
+
+namespace marigold::node::events {
+
+inline constexpr base::event_definition processStarted { .id = "MB-1201",
+    .level = base::log_level::Info,
+    .name = "process_started",
+    .meaning = "The process holds its port and joins the fleet.",
+    .action = "" };
+
+inline constexpr base::event_definition processStopped { .id = "MB-1202",
+    .level = base::log_level::Info,
+    .name = "process_stopped",
+    .meaning = "The shutdown is complete.",
+    .action = "" };
+
+inline constexpr base::event_definition configInForce { .id = "MB-1203",
+    .level = base::log_level::Info,
+    .name = "config_in_force",
+    .meaning = "A configuration version is in force in this process.",
+    .action = "" };
+
+inline constexpr base::event_definition keyRecordBroken { .id = "MB-1204",
+    .level = base::log_level::Error,
+    .name = "key_record_broken",
+    .meaning = "A key in the configuration cannot be read; it opens nothing.",
+    .action = "Rotate the key of the team or operator." };
+
+inline constexpr std::array allEvents { processStarted, processStopped, configInForce, keyRecordBroken };
+
+} // namespace marigold::node::events
--- /dev/null
+++ b/src/libs/node/fleet_node.cpp
@@ -0,0 +1,432 @@
+#include "fleet_node.h"
+
+#include "events.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include <fmt/format.h>
+
+namespace marigold::node {
+
+namespace {
+
+constexpr auto membershipTick = std::chrono::milliseconds(100);
+constexpr auto watcherCheck = std::chrono::seconds(1);
+
+/// Time after which a process that reached no peer acts as if it were alone.
+constexpr auto joinPatience = std::chrono::seconds(3);
+
+/// Sends datagrams of the membership protocol through a socket.
+class udp_datagram_port final : public control::datagram_port {
+public:
+    explicit udp_datagram_port(net::udp_socket& socket)
+        : m_socket(socket)
+    {
+    }
+
+    void send(const std::string& address, std::string_view bytes) override
+    {
+        if (const auto to = net::endpoint::parse(address))
+            m_socket.send(*to, bytes);
+    }
+
+private:
+    net::udp_socket& m_socket;
+};
+
+/// Accepts two keys while the fleet changes from one to the other.
+class rotating_authenticator final : public control::message_authenticator {
+public:
+    rotating_authenticator(
+        const operate::message_key& current, const std::optional<operate::message_key>& previous)
+        : m_current(current.secret)
+        , m_previous(previous ? std::optional<control::hmac_authenticator>(previous->secret) : std::nullopt)
+    {
+    }
+
+    std::string sign(std::string_view bytes) const override { return m_current.sign(bytes); }
+
+    bool verify(std::string_view bytes, std::string_view tag) const override
+    {
+        return m_current.verify(bytes, tag) || (m_previous && m_previous->verify(bytes, tag));
+    }
+
+private:
+    control::hmac_authenticator m_current;
+    std::optional<control::hmac_authenticator> m_previous;
+};
+
+operate::message_key keyFrom(const std::string& text)
+{
+    // The settings have checked the form.
+    return operate::parseMessageKey(text).value_or(operate::message_key {});
+}
+
+std::optional<operate::message_key> previousKeyFrom(const std::string& text)
+{
+    if (text.empty())
+        return std::nullopt;
+    return keyFrom(text);
+}
+
+control::member selfMember(const node_settings& settings, control::member_kind kind, const base::clock& clock)
+{
+    return { .id = settings.memberId(),
+        .failureDomain = settings.process.failureDomain,
+        .region = settings.process.region,
+        .kind = kind,
+        .incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()) };
+}
+
+} // namespace
+
+struct fleet_node::private_data {
+    options opts;
+    net::event_loop loop;
+    base::system_clock clock;
+    base::random_source random = base::random_source::fromSystem();
+    base::event_log log;
+    net::http_client client { loop };
+    platform::http_kv_store store;
+    operate::metrics metrics { clock };
+    operate::state_dump dump;
+    operate::access_control access;
+    operate::message_auth authenticator;
+    peer_link peers;
+    control::config_log configLog;
+    control::config_replica config;
+    net::udp_socket socket;
+    udp_datagram_port datagrams { socket };
+    rotating_authenticator datagramAuthenticator;
+    control::membership membership;
+    std::unique_ptr<outcome::drain> drain;
+    http_router router;
+    net::rpc_endpoint rpc;
+    std::unique_ptr<net::http_server> server;
+    std::vector<std::function<void(const control::config_state&)>> configHandlers;
+    std::vector<std::function<void(const control::member&)>> memberHandlers;
+    std::vector<std::string> knownTeams;
+    std::vector<std::string> knownOperators;
+    int exitCode = 0;
+    base::time_point startedAt { clock.now() };
+
+    explicit private_data(options given);
+
+    void configChanged(const control::config_state& state);
+    void applyAccess(const control::config_content& content);
+    std::vector<operate::key_record> recordsFrom(
+        std::string_view holder, const std::vector<std::string>& texts) const;
+    void updateWatcher();
+    std::vector<std::string> livePeers() const;
+    void addCommonRoutes();
+    void addDumpSections();
+    void shutdownDone(const outcome::drain_report& report);
+};
+
+fleet_node::private_data::private_data(options given)
+    : opts(std::move(given))
+    , log(opts.settings.process.logOptions())
+    , store(client,
+          { .service = net::endpoint::parse(opts.settings.kv.endpoint).value_or(net::endpoint {}),
+              .timeout = opts.settings.kv.callTimeout })
+    , dump({ .process = opts.settings.process.id, .log = &log }, clock)
+    , access(clock, &log)
+    , authenticator({ .current = keyFrom(opts.settings.cluster.messageKey),
+                        .previous = previousKeyFrom(opts.settings.cluster.previousMessageKey),
+                        .log = &log },
+          clock, random)
+    , peers(client, authenticator, { .self = opts.settings.memberId() })
+    , configLog(store, loop, clock, log, {})
+    , config(configLog, store, peers, loop, random, log, { .watchPatience = opts.settings.kv.watchPatience })
+    , socket(loop, [this](const net::endpoint&, std::string_view bytes) { membership.receive(bytes); })
+    , datagramAuthenticator(keyFrom(opts.settings.cluster.messageKey),
+          previousKeyFrom(opts.settings.cluster.previousMessageKey))
+    , membership(selfMember(opts.settings, opts.kind, clock), datagrams, datagramAuthenticator, clock, random,
+          log, {})
+{
+    drain = std::make_unique<outcome::drain>(clock, loop,
+        outcome::drain::options { .limit = opts.settings.process.shutdownLimit,
+            .finished = [this](const auto& report) { shutdownDone(report); },
+            .log = &log });
+    drain->addHook(outcome::drain_phase::OnStart, "announce", [this](const std::function<void()>& done) {
+        membership.leave();
+        done();
+    });
+    config.setListener([this](const control::config_state& state) { configChanged(state); });
+    membership.setListener({
+        .changed =
+            [this](const control::member& changed) {
+                for (const auto& handler : memberHandlers)
+                    handler(changed);
+            },
+        .versionSeen
+        = [this](std::uint64_t version, const std::string& id) { config.noteVersion(version, id); },
+        .rejoined = [this] { config.refresh(livePeers()); },
+    });
+    addCommonRoutes();
+    addDumpSections();
+}
+
+void fleet_node::private_data::configChanged(const control::config_state& state)
+{
+    log.write(events::configInForce, { { "version", std::to_string(state.version) } });
+    membership.setConfigVersion(state.version);
+    metrics.configurationVersion(state.version);
+    applyAccess(state.document.content());
+    for (const auto& handler : configHandlers)
+        handler(state);
+}
+
+std::vector<operate::key_record> fleet_node::private_data::recordsFrom(
+    std::string_view holder, const std::vector<std::string>& texts) const
+{
+    std::vector<operate::key_record> records;
+    for (const auto& text : texts) {
+        if (auto record = operate::parseKeyRecord(text))
+            records.push_back(std::move(*record));
+        else
+            log.write(events::keyRecordBroken, { { "holder", std::string(holder) } });
+    }
+    return records;
+}
+
+void fleet_node::private_data::applyAccess(const control::config_content& content)
+{
+    for (const auto& name : knownTeams)
+        if (!content.teams.contains(name))
+            access.removeTeam(name);
+    for (const auto& name : knownOperators)
+        if (!content.operators.contains(name))
+            access.removeOperator(name);
+    knownTeams.clear();
+    knownOperators.clear();
+    for (const auto& [name, team] : content.teams) {
+        access.setTeam(name, recordsFrom(name, team.keyRecords));
+        knownTeams.push_back(name);
+    }
+    for (const auto& [name, account] : content.operators) {
+        const auto right = account.mayEndanger ? operate::operator_right::Dangerous
+            : account.mayChange                ? operate::operator_right::Change
+                                               : operate::operator_right::Read;
+        access.setOperator(name, right, recordsFrom(name, account.keyRecords));
+        knownOperators.push_back(name);
+    }
+}
+
+std::vector<std::string> fleet_node::private_data::livePeers() const
+{
+    std::vector<std::string> found;
+    for (const auto& [id, tracked] : membership.table().all())
+        if (id != membership.self().id && tracked.info.state == control::member_state::Alive)
+            found.push_back(id);
+    return found;
+}
+
+void fleet_node::private_data::updateWatcher()
+{
+    // A process that has not met the fleet yet would take itself for the only one of its domain.
+    if (!membership.hasJoined() && clock.now() < startedAt + joinPatience)
+        return;
+    std::vector<std::string> entries;
+    std::vector<std::string> all;
+    for (const auto* tracked : membership.table().liveIn(opts.settings.process.failureDomain)) {
+        all.push_back(tracked->info.id);
+        if (tracked->info.kind == control::member_kind::Entry)
+            entries.push_back(tracked->info.id);
+    }
+    const std::string self = opts.settings.memberId();
+    if (opts.kind == control::member_kind::Entry && std::find(entries.begin(), entries.end(), self) == entries.end())
+        entries.push_back(self);
+    // In a domain without entries, two agents watch.
+    const bool isCandidate = entries.empty() || opts.kind == control::member_kind::Entry;
+    config.setWatcher(isCandidate && control::config_replica::isWatcher(self, entries.empty() ? all : entries, opts.settings.process.failureDomain));
+}
+
+void fleet_node::private_data::addCommonRoutes()
+{
+    router.add("GET", "/healthz", [](const exchange_ptr& exchange) { exchange->reply({ .body = "ok\n" }); });
+    router.add("GET", "/readyz", [this](const exchange_ptr& exchange) {
+        const bool ready = drain->isReady() && config.mayServe();
+        exchange->reply({ .status = ready ? 200 : 503, .body = ready ? "ready\n" : "not ready\n" });
+    });
+    router.add("GET", "/metrics", [this](const exchange_ptr& exchange) {
+        exchange->reply(
+            { .headers = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = metrics.exposition() });
+    });
+    router.add("POST", std::string(rpcPath), peers.authenticated([this](const exchange_ptr& exchange) {
+        replyJson(exchange, 200, rpc.handle(std::string(exchange->body())));
+    }));
+    rpc.add(
+        "config.pull", [this](std::string_view argument) { return peer_link::answerPull(config, argument); });
+    rpc.add("process.dump", [this](std::string_view) -> base::result<std::string> { return dump.render(); });
+}
+
+void fleet_node::private_data::addDumpSections()
+{
+    dump.add("configuration", [this] {
+        return fmt::format(R"({{"version":{},"may_serve":{}}})", config.version(), config.mayServe());
+    });
+    dump.add("membership", [this] {
+        std::string members;
+        for (const auto& [id, tracked] : membership.table().all())
+            members
+                += fmt::format(R"({}{{"id":"{}","domain":"{}","state":"{}","incarnation":{},"config":{}}})",
+                    members.empty() ? "" : ",", id, tracked.info.failureDomain,
+                    control::nameOf(membership.stateOf(id)), tracked.info.incarnation,
+                    tracked.info.configVersion);
+        const auto& traffic = membership.traffic();
+        return fmt::format(
+            R"({{"members":[{}],"sent_bytes":{},"received_bytes":{},"bytes_per_second":{:.0f},"refused":{}}})",
+            members, traffic.sentBytes, traffic.receivedBytes, traffic.bytesPerSecond,
+            traffic.refusedDatagrams);
+    });
+    dump.add("key_value_calls", [this] {
+        const auto& counts = store.counts();
+        return fmt::format(
+            R"({{"reads":{},"writes":{},"failures":{}}})", counts.reads, counts.writes, counts.failures);
+    });
+    dump.add("drain", [this] {
+        return fmt::format(
+            R"({{"state":"{}","running":{}}})", outcome::nameOf(drain->state()), drain->running());
+    });
+}
+
+void fleet_node::private_data::shutdownDone(const outcome::drain_report& report)
+{
+    log.write(events::processStopped,
+        { { "forced", report.forced ? "true" : "false" },
+            { "cut_requests", std::to_string(report.cutRequests.size()) } });
+    exitCode = report.forced ? 1 : 0;
+    // Answers that were just completed still have to leave the socket.
+    constexpr auto flushTime = std::chrono::milliseconds(100);
+    loop.runAfter(flushTime, [this] { loop.stop(); });
+}
+
+fleet_node::fleet_node(options opts)
+    : d(std::make_unique<private_data>(std::move(opts)))
+{
+}
+
+fleet_node::~fleet_node() = default;
+
+base::result<void> fleet_node::start()
+{
+    const auto& process = d->opts.settings.process;
+    const net::http_server::options serverOptions { .address = process.listenAddress,
+        .port = process.listenPort };
+    d->server = std::make_unique<net::http_server>(
+        d->loop, serverOptions, [this](const exchange_ptr& exchange) { d->router.handle(exchange); });
+    if (const auto listening = d->server->listen(); !listening)
+        return listening;
+    if (const auto bound = d->socket.bind({ .address = process.listenAddress, .port = process.listenPort });
+        !bound)
+        return bound;
+    d->log.write(events::processStarted,
+        { { "member", d->opts.settings.memberId() }, { "version", d->opts.version } });
+
+    d->loop.onSignal(SIGTERM, [this] { d->drain->signal(); });
+    d->loop.onSignal(SIGINT, [this] { d->drain->signal(); });
+    d->membership.join(d->opts.settings.cluster.seedPeers);
+    d->config.start(d->opts.settings.cluster.seedPeers);
+    d->loop.runEvery(membershipTick, [this] { d->membership.tick(); });
+    d->loop.runEvery(watcherCheck, [this] { d->updateWatcher(); });
+    d->updateWatcher();
+    return {};
+}
+
+int fleet_node::run()
+{
+    d->loop.run();
+    return d->exitCode;
+}
+
+const node_settings& fleet_node::settings() const
+{
+    return d->opts.settings;
+}
+net::event_loop& fleet_node::loop()
+{
+    return d->loop;
+}
+const base::clock& fleet_node::clock() const
+{
+    return d->clock;
+}
+base::clock& fleet_node::clock()
+{
+    return d->clock;
+}
+base::random_source& fleet_node::random()
+{
+    return d->random;
+}
+base::event_log& fleet_node::log()
+{
+    return d->log;
+}
+net::http_client& fleet_node::client()
+{
+    return d->client;
+}
+platform::http_kv_store& fleet_node::store()
+{
+    return d->store;
+}
+operate::metrics& fleet_node::metrics()
+{
+    return d->metrics;
+}
+operate::state_dump& fleet_node::dump()
+{
+    return d->dump;
+}
+operate::access_control& fleet_node::access()
+{
+    return d->access;
+}
+control::config_log& fleet_node::configLog()
+{
+    return d->configLog;
+}
+control::config_replica& fleet_node::config()
+{
+    return d->config;
+}
+control::membership& fleet_node::membership()
+{
+    return d->membership;
+}
+outcome::drain& fleet_node::drain()
+{
+    return *d->drain;
+}
+peer_link& fleet_node::peers()
+{
+    return d->peers;
+}
+http_router& fleet_node::router()
+{
+    return d->router;
+}
+net::rpc_endpoint& fleet_node::rpc()
+{
+    return d->rpc;
+}
+
+void fleet_node::onConfig(std::function<void(const control::config_state&)> handler)
+{
+    d->configHandlers.push_back(std::move(handler));
+}
+
+void fleet_node::onMember(std::function<void(const control::member&)> handler)
+{
+    d->memberHandlers.push_back(std::move(handler));
+}
+
+bool fleet_node::isReady() const
+{
+    return d->drain->isReady() && d->config.mayServe();
+}
+
+} // namespace marigold::node
--- /dev/null
+++ b/src/libs/node/node_settings.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <settings/settings.h>
+
+namespace marigold::node {
+
+/// Settings that every process of the fleet has.
+struct node_settings {
+    settings::process_settings process;
+    settings::cluster_settings cluster;
+    settings::kv_settings kv;
+    settings::tls_settings tls;
+
+    void registerSettings(settings::settings_reader& reader);
+
+    /// Returns the identity of the process in the fleet, `ADDRESS:PORT`.
+    std::string memberId() const;
+};
+
+} // namespace marigold::node
--- a/src/libs/outcome/claim_ledger.cpp
+++ b/src/libs/outcome/claim_ledger.cpp
@@ -192,7 +192,12 @@
 
 std::uint32_t claim_ledger::shardOf(std::string_view team, const idempotency_key& key) const
 {
-    return keyDigest(team, key)[0] % m_options.shards;
+    return shardOf(team, key, m_options.shards);
+}
+
+std::uint32_t claim_ledger::shardOf(std::string_view team, const idempotency_key& key, std::uint32_t shards)
+{
+    return keyDigest(team, key)[0] % shards;
 }
 
 std::string_view claim_ledger::homeOf(
--- a/src/libs/outcome/claim_ledger.h
+++ b/src/libs/outcome/claim_ledger.h
@@ -34,12 +34,15 @@
 /// will not be sent, whatever an earlier call with the same key did.
 class claim_ledger {
 public:
+    /// Number of shards of a service; changing it orphans the stored claims.
+    static constexpr std::uint32_t defaultShards = 16;
+
     struct options {
         std::string service = {};
         std::string process = {}; ///< Identity of this process; must differ between two starts of it.
         /// Whether the process that wrote a claim is known to be alive.
         std::function<bool(std::string_view process)> isAlive = {};
-        std::uint32_t shards = 16;
+        std::uint32_t shards = defaultShards;
         base::duration bucketLength = std::chrono::seconds(10);
         base::duration batchInterval = std::chrono::milliseconds(80);
         base::duration resultDelay = std::chrono::seconds(1); ///< Results are written after at most this.
@@ -92,6 +95,9 @@
     /// Shard of a key of \a team, the same in every process.
     std::uint32_t shardOf(std::string_view team, const idempotency_key& key) const;
 
+    /// Shard of a key among \a shards, for a process that has no ledger.
+    static std::uint32_t shardOf(std::string_view team, const idempotency_key& key, std::uint32_t shards);
+
     /// Returns the agent among \a agents that should be asked for claims of \a shard. Another one may be
     /// asked at any time: the choice only avoids conflicts.
     static std::string_view homeOf(
--- a/src/libs/standin/engine_service.cpp
+++ b/src/libs/standin/engine_service.cpp
@@ -258,7 +258,8 @@
 void engine_service::private_data::prefill(const std::vector<engine_run*>& running)
 {
     const double seconds = std::chrono::duration<double>(opts.tokenTime).count();
-    double budget = opts.prefillBytesPerSecond * seconds / (isCold() ? opts.coldSlowdown : 1);
+    // A cold engine takes the same steps, each of them slower (see `tick`).
+    double budget = opts.prefillBytesPerSecond * seconds;
     for (engine_run* run : running) {
         if (run->prefilled)
             continue;
--- /dev/null
+++ b/src/programs/agent/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_agent marigold_node marigold_settings)
--- /dev/null
+++ b/src/programs/entry/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_entry marigold_node marigold_settings)
--- a/tests/libs/operate/events_page_test.cpp
+++ b/tests/libs/operate/events_page_test.cpp
@@ -94,7 +94,8 @@
 {
     // Guards against two events of one number, which makes alerts on the number ambiguous.
     const std::map<std::string, std::string> ranges { { "settings", "MB-11" }, { "context", "MB-13" },
-        { "routing", "MB-14" }, { "outcome", "MB-15" }, { "control", "MB-16" }, { "operate", "MB-17" } };
+        { "routing", "MB-14" }, { "outcome", "MB-15" }, { "control", "MB-16" }, { "operate", "MB-17" },
+        { "node", "MB-12" }, { "entry", "MB-18" }, { "agent", "MB-19" } };
     std::set<std::string_view> numbers;
     std::set<std::string_view> names;
     const std::regex number("MB-[0-9]{4}");
