Add marigoldctl and a contract test against a fake entry

Operators need a command line whose exit code tells a refusal, a conflict, a lost answer and a dead entry apart.

marigoldctl talks to the admin interface of several entries. Another entry is tried only if a change was not sent or the entry says not_run. A change whose answer is lost, malformed or undecided is asked for by its change id, and shown as accepted, refused or unknown. Dangerous steps ask first.

makeUuidV7 in the operate library makes idempotency keys and change ids.

--- a/src/libs/operate/operate.h
+++ b/src/libs/operate/operate.h
@@ -14,3 +14,4 @@
 #include "secure_random.h"
 #include "state_dump.h"
 #include "team_labels.h"
+#include "uuid.h"
--- /dev/null
+++ b/src/libs/operate/uuid.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "secure_random.h"
+
+#include <base/base.h>
+
+#include <string>
+
+namespace marigold::operate {
+
+/// Returns a version 7 UUID (RFC 9562, section 5.7) of the time \a now: 48 bits of Unix milliseconds and 74
+/// random bits. Serves as idempotency key and as change id.
+std::string makeUuidV7(base::wall_time now, const random_bytes& random = systemRandomBytes);
+
+} // namespace marigold::operate
--- /dev/null
+++ b/src/programs/ctl/depends.cmake
@@ -0,0 +1,1 @@
+set(DEPENDS marigold_operate marigold_settings event)
--- /dev/null
+++ b/src/programs/ctl/fleet_commands.cpp
@@ -0,0 +1,123 @@
+#include "command.h"
+
+#include "session.h"
+#include "table.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::ctl {
+
+namespace {
+
+using json = nlohmann::json;
+
+outcome runStatus(session& current)
+{
+    return current.read("/admin/status");
+}
+
+outcome runDomain(session& current, bool inService)
+{
+    return current.change(
+        "/admin/domains/" + escapePath(current.argument(0)), json { { "in_service", inService } });
+}
+
+outcome runTarget(session& current, bool drained)
+{
+    return current.change(
+        "/admin/targets/" + escapePath(current.argument(0)), json { { "drained", drained } });
+}
+
+outcome runTargets(session& current)
+{
+    return current.read("/admin/targets");
+}
+
+outcome runExplain(session& current)
+{
+    return current.read("/admin/explain/" + escapePath(current.argument(0)));
+}
+
+outcome runDump(session& current)
+{
+    return current.read("/admin/dump?process=" + escapePath(current.argument(0)));
+}
+
+std::string renderTargets(const json& document)
+{
+    return renderObjects(document.at("targets"), { "id", "domain", "kind", "state", "load" });
+}
+
+const std::vector<std::string>& changeFlags()
+{
+    static const std::vector<std::string> flags { "base", "change-id", "wait" };
+    return flags;
+}
+
+std::vector<command> placementCommands()
+{
+    return {
+        { .words = { "domain", "out" },
+            .parameters = { "NAME" },
+            .flags = changeFlags(),
+            .summary = "Take a failure domain out of service; it gets no new work.",
+            .example = "marigoldctl domain out hall-bodo --wait 20",
+            .question = "Take the failure domain \"{}\" out of service?",
+            .run = [](session& current) { return runDomain(current, false); },
+            .render = renderChange },
+        { .words = { "domain", "in" },
+            .parameters = { "NAME" },
+            .flags = changeFlags(),
+            .summary = "Return a failure domain to service; its targets ramp up.",
+            .example = "marigoldctl domain in hall-bodo",
+            .run = [](session& current) { return runDomain(current, true); },
+            .render = renderChange },
+        { .words = { "target", "drain" },
+            .parameters = { "ID" },
+            .flags = changeFlags(),
+            .summary = "Give a target no new work; running requests end as usual.",
+            .example = "marigoldctl target drain engine-07",
+            .run = [](session& current) { return runTarget(current, true); },
+            .render = renderChange },
+        { .words = { "target", "undrain" },
+            .parameters = { "ID" },
+            .flags = changeFlags(),
+            .summary = "Give a drained target work again.",
+            .example = "marigoldctl target undrain engine-07",
+            .run = [](session& current) { return runTarget(current, false); },
+            .render = renderChange },
+    };
+}
+
+} // namespace
+
+std::vector<command> fleetCommands()
+{
+    std::vector<command> commands = placementCommands();
+    commands.push_back({ .words = { "target", "list" },
+        .summary = "List the targets with their state and load.",
+        .example = "marigoldctl target list",
+        .run = runTargets,
+        .render = renderTargets });
+    commands.push_back({ .words = { "explain" },
+        .parameters = { "REQUEST-ID" },
+        .summary = "Show the candidates, decisions and attempts of a request.",
+        .example = "marigoldctl explain 0191d3a4-7c1e-7b60-8f00-1c2d3e4f5a6b",
+        .run = runExplain,
+        .render = renderDocument });
+    commands.push_back({ .words = { "dump" },
+        .parameters = { "PROCESS" },
+        .summary = "Show the state of all modules of a process.",
+        .example = "marigoldctl dump entry-3 --json",
+        .run = runDump,
+        .render = renderDocument });
+    commands.insert(commands.begin(),
+        { .words = { "status" },
+            .summary = "Show the state of the entry and of the fleet as it sees it.",
+            .example = "marigoldctl status",
+            .run = runStatus,
+            .render = renderDocument });
+    return commands;
+}
+
+} // namespace marigold::ctl
--- /dev/null
+++ b/src/programs/ctl/team_commands.cpp
@@ -0,0 +1,105 @@
+#include "command.h"
+
+#include "session.h"
+#include "table.h"
+
+#include <base/base.h>
+#include <operate/operate.h>
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::ctl {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Returns the shares that were given on the command line.
+json givenShares(const session& current)
+{
+    json body = json::object();
+    if (current.options().weight)
+        body["weight"] = *current.options().weight;
+    if (current.options().burst)
+        body["burst"] = *current.options().burst;
+    return body;
+}
+
+outcome runAdd(session& current)
+{
+    json body = givenShares(current);
+    if (body.size() != 2)
+        return fail(exit_code::Usage, "team add needs --weight and --burst");
+    body["team"] = current.argument(0);
+    return current.change("/admin/teams", std::move(body));
+}
+
+outcome runLimit(session& current)
+{
+    json body = givenShares(current);
+    if (body.empty())
+        return fail(exit_code::Usage, "team limit needs --weight or --burst");
+    return current.change("/admin/teams/" + escapePath(current.argument(0)) + "/limit", std::move(body));
+}
+
+outcome runRotate(session& current)
+{
+    return current.change("/admin/teams/" + escapePath(current.argument(0)) + "/rotate", json::object());
+}
+
+outcome runNewKey(session&)
+{
+    return json { { "key", operate::makeUuidV7(base::system_clock().wallNow()) } };
+}
+
+std::string renderIssued(const json& document)
+{
+    std::string out = document.contains("outcome") ? renderChange(document) : std::string();
+    if (document.contains("key"))
+        return out + "key: " + renderScalar(document.at("key"))
+            + "\nThe key is shown this once; store it now.\n";
+    return out
+        + "The key was lost with the answer; issue another one with \"marigoldctl team key rotate\".\n";
+}
+
+std::string renderNewKey(const json& document)
+{
+    return renderScalar(document.at("key")) + "\n";
+}
+
+} // namespace
+
+std::vector<command> teamCommands()
+{
+    return {
+        { .words = { "team", "add" },
+            .parameters = { "NAME" },
+            .flags = { "weight", "burst", "base", "change-id", "wait" },
+            .summary = "Add a team and print its key.",
+            .example = "marigoldctl team add bergvik-braille --weight 10 --burst 40",
+            .run = runAdd,
+            .render = renderIssued },
+        { .words = { "team", "limit" },
+            .parameters = { "NAME" },
+            .flags = { "weight", "burst", "base", "change-id", "wait" },
+            .summary = "Change the share of a team.",
+            .example = "marigoldctl team limit bergvik-braille --weight 20",
+            .run = runLimit,
+            .render = renderChange },
+        { .words = { "team", "key", "rotate" },
+            .parameters = { "NAME" },
+            .flags = { "base", "change-id", "wait" },
+            .summary = "Print a new key of a team; the earlier key works for the overlap.",
+            .example = "marigoldctl team key rotate bergvik-braille",
+            .question = "Issue a new key for the team \"{}\" and let the earlier one expire?",
+            .run = runRotate,
+            .render = renderIssued },
+        { .words = { "key", "new" },
+            .summary = "Print a fresh idempotency key (UUIDv7); no entry is asked.",
+            .example = "marigoldctl key new",
+            .run = runNewKey,
+            .render = renderNewKey },
+    };
+}
+
+} // namespace marigold::ctl
--- /dev/null
+++ b/tests/ctl/ctl_test.py
@@ -0,0 +1,288 @@
+"""Contract test of marigoldctl: exit codes, messages and requests, against a fake entry on loopback.
+
+The fake entry answers from a table of (method, path) to a list of answers, one for each call; the last one
+repeats. An answer is (status, JSON document or text), LOST, which closes the connection without an answer, or SLOW,
+which sends a byte every 50 ms for as long as the caller stays.
+"""
+import http.server
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+PROGRAM = sys.argv.pop(1)
+LOST = "lost"
+SLOW = "slow"
+KEY = "mbop_ada_" + "0" * 64
+CONFIG = (200, {"version": 41, "document": {"teams": {}}})
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    def answer(self):
+        length = int(self.headers.get("Content-Length", 0))
+        body = self.rfile.read(length)
+        server = self.server
+        server.seen.append((self.command, self.path, json.loads(body) if body else None))
+        server.keys.append(self.headers.get("Authorization"))
+        path = self.path
+        if path.startswith("/admin/config/change/"):
+            path = "/admin/config/change/ID"
+        answers = server.answers.get((self.command, path), [(404, {"error": {"message": "no such path"}})])
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer == LOST:
+            self.connection.shutdown(socket.SHUT_RDWR)
+            self.close_connection = True
+            return
+        if answer == SLOW:
+            self.send_response(200)
+            self.send_header("Content-Length", "100000")
+            self.end_headers()
+            self.drip()
+            return
+        status, document = answer
+        data = (document if isinstance(document, str) else json.dumps(document)).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def drip(self):
+        try:
+            for _ in range(200):
+                self.wfile.write(b" ")
+                time.sleep(0.05)
+        except OSError:
+            pass
+        self.close_connection = True
+
+    do_GET = do_POST = answer
+
+    def log_message(self, *arguments):
+        pass
+
+
+class FakeEntry:
+    def __init__(self, answers):
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.answers = {key: list(value) if isinstance(value, list) else [value]
+                               for key, value in answers.items()}
+        self.server.seen = []
+        self.server.keys = []
+        self.url = "http://127.0.0.1:%d" % self.server.server_address[1]
+        self.thread = threading.Thread(target=self.server.serve_forever, kwargs={"poll_interval": 0.01})
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *arguments):
+        self.server.shutdown()
+        self.thread.join()
+        self.server.server_close()
+
+
+def dead_entry():
+    """Returns the address of a port on which nothing listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return "http://127.0.0.1:%d" % probe.getsockname()[1]
+
+
+def run(entries, *arguments, stdin="", key=KEY):
+    flags = [flag for entry in entries for flag in ("--entry", entry)]
+    environment = {name: value for name, value in os.environ.items() if not name.startswith("MARIGOLD_")}
+    if key:
+        environment["MARIGOLD_OPERATOR_KEY"] = key
+    return subprocess.run([PROGRAM, *arguments, *flags], input=stdin, capture_output=True, text=True, timeout=60,
+                          env=environment)
+
+
+class CtlTest(unittest.TestCase):
+    def check(self, done, code, *texts):
+        shown = done.stdout + done.stderr
+        self.assertEqual(done.returncode, code, shown)
+        for text in texts:
+            self.assertIn(text, shown)
+        self.assertNotIn(KEY, shown)
+
+    def patch_file(self, text):
+        file = tempfile.NamedTemporaryFile("w", suffix=".json", delete=False)
+        self.addCleanup(os.unlink, file.name)
+        with file:
+            file.write(text)
+        return file.name
+
+    def test_answers_of_the_entry_give_their_exit_code(self):
+        # Guards against a script that takes a refusal or a conflict for success.
+        patch = self.patch_file('[{"op": "remove", "path": "/x"}]')
+        error = {"error": {"verdict": "not_run", "reason": "forbidden", "message": "lacks the right", "field": "/x"}}
+        conflict = {"error": {"verdict": "not_run", "reason": "conflict", "message": "c"}, "base": 41, "current": 44}
+        cases = [
+            ((200, {"outcome": "accepted", "version": 42}), 0, ["accepted: version 42"]),
+            ((200, {"outcome": "dry_run", "changes": ["/x"]}), 0, ["dry run", "/x"]),
+            ((400, error), 1, ["lacks the right (at /x)"]),
+            ((401, {}), 4, ["no permission", "MARIGOLD_OPERATOR_KEY"]),
+            ((403, error), 4, ["no permission: lacks the right"]),
+            ((409, conflict), 3, ["based on version 41", "current version is 44", "config diff 41 44"]),
+            ((409, "not JSON"), 3, ["conflict"]),
+            ((503, error), 1, ["lacks the right"]),
+        ]
+        for answer, code, texts in cases:
+            with self.subTest(answer=answer), FakeEntry({("GET", "/admin/config"): CONFIG,
+                                                         ("POST", "/admin/config/patch"): answer}) as entry:
+                self.check(run([entry.url], "config", "patch", patch), code, *texts)
+                method, path, body = entry.server.seen[-1]
+                self.assertEqual((method, path), ("POST", "/admin/config/patch"))
+                self.assertEqual(body["base"], 41)
+                self.assertEqual(body["format"], "json-patch")
+                self.assertRegex(body["change_id"], "^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-")
+                self.assertEqual(set(entry.server.keys), {"Bearer " + KEY})
+
+    def test_a_change_without_answer_is_asked_for_by_its_id(self):
+        # Guards against a change that is reported as failed although it was accepted, and against one that is
+        # sent twice under two ids.
+        unknown = (200, {"outcome": "unknown"})
+        not_known = (503, {"error": {"verdict": "may_have_run", "message": "lost"}})
+        cases = [
+            (LOST, [unknown, (200, {"outcome": "accepted", "version": 42})], 0, "accepted: version 42"),
+            (LOST, [(200, {"outcome": "refused"})], 1, "refused"),
+            (SLOW, [(200, {"outcome": "accepted", "version": 42})], 0, "accepted: version 42"),
+            (LOST, [unknown], 6, "--base 41 --change-id"),
+            ((202, {"outcome": "unknown"}), [(200, {"outcome": "accepted", "version": 42})], 0, "version 42"),
+            ((200, "{\"outc"), [(200, {"outcome": "accepted", "version": 42})], 0, "version 42"),
+            ((200, {}), [(200, {"outcome": "accepted", "version": 42})], 0, "version 42"),
+            (not_known, [(200, {"outcome": "accepted", "version": 42})], 0, "version 42"),
+        ]
+        for answer, resolutions, code, text in cases:
+            with self.subTest(answer=answer, code=code), FakeEntry({
+                    ("GET", "/admin/config"): CONFIG, ("POST", "/admin/domains/hall-bodo"): answer,
+                    ("GET", "/admin/config/change/ID"): resolutions}) as entry:
+                done = run([entry.url, dead_entry()], "domain", "out", "hall-bodo", "--yes", "--timeout-ms", "2000")
+                self.check(done, code, text)
+                posts = [seen for seen in entry.server.seen if seen[0] == "POST"]
+                self.assertEqual(len(posts), 1)
+                self.assertEqual(posts[0][2]["in_service"], False)
+                asked = [seen[1] for seen in entry.server.seen if "/change/" in seen[1]]
+                self.assertEqual(set(asked), {"/admin/config/change/" + posts[0][2]["change_id"]})
+
+    def test_a_dead_entry_is_passed_over(self):
+        # Guards against an operator who is locked out by the failure of one entry.
+        refused = (503, {"error": {"verdict": "not_run", "message": "no configuration yet"}})
+        with FakeEntry({("GET", "/admin/config"): CONFIG,
+                        ("POST", "/admin/targets/e%2F1"): (200, {"outcome": "accepted", "version": 42})}) as good, \
+                FakeEntry({("GET", "/admin/config"): refused, ("POST", "/admin/targets/e%2F1"): refused}) as poor:
+            self.check(run([dead_entry(), poor.url, good.url], "target", "drain", "e/1"), 0, "version 42")
+            ids = {seen[2]["change_id"] for entry in (good, poor) for seen in entry.server.seen if seen[2]}
+            self.assertEqual(len(ids), 1)
+            self.assertTrue(good.server.seen[-1][2]["drained"])
+        with FakeEntry({("GET", "/admin/status"): SLOW}) as slow:
+            self.check(run([slow.url], "status", "--timeout-ms", "2000"), 5, "did not answer in full within 2000 ms")
+        self.check(run([dead_entry(), dead_entry()], "status"), 5, "no entry was reached")
+        self.check(run([dead_entry()], "domain", "in", "hall-bodo"), 5, "no entry was reached")
+
+    def test_a_dangerous_step_is_asked_for(self):
+        # Guards against a failure domain that is taken out by a slip or by a script without --yes.
+        with FakeEntry({("GET", "/admin/config"): CONFIG,
+                        ("POST", "/admin/domains/d"): (200, {"outcome": "accepted", "version": 42})}) as entry:
+            for reply in ("", "n\n", "\n"):
+                self.check(run([entry.url], "domain", "out", "d", stdin=reply), 2, "not confirmed")
+            self.assertEqual(entry.server.seen, [])
+            self.check(run([entry.url], "domain", "out", "d", stdin="y\n"), 0, "version 42")
+        for command in (["config", "rollback", "41"], ["team", "key", "rotate", "t"]):
+            self.check(run([dead_entry()], *command), 2, "not confirmed")
+
+    def test_wrong_usage_and_broken_files_send_nothing(self):
+        # Guards against a half-understood command line that still changes something.
+        broken = self.patch_file('[{"op": "remove",\n "path": }]')
+        merge = self.patch_file('{"x": null}')
+        cases = [
+            ([], "no command"), (["frobnicate"], "unknown command"), (["domain", "out"], "takes 1 argument"),
+            (["domain", "out", "a", "b"], "takes 1 argument"), (["status", "--bse", "1"], "bse"),
+            (["status", "--base", "1"], "does not apply"), (["config", "get", "--config-version", "x"], "x"),
+            (["config", "patch", broken], "line 2"), (["config", "patch", "/nonexistent"], "cannot be read"),
+            (["config", "patch", merge], "must be an array"), (["config", "diff", "1", "two"], "not a version"),
+            (["team", "add", "t", "--weight", "1"], "--burst"), (["team", "limit", "t", "--weight", "-1"], "above 0"),
+            (["domain", "out", ""], "empty"), (["status", "--key-file", "/nonexistent"], "key file"),
+            (["status", "--entry", "http://localhost:1"], "IP:PORT"), (["status", "--timeout-ms", "0"], "timeout"),
+        ]
+        with FakeEntry({}) as entry:
+            for arguments, text in cases:
+                with self.subTest(arguments=arguments):
+                    self.check(run([entry.url], *arguments), 2, text)
+            self.assertEqual(entry.server.seen, [])
+
+    def test_documents_are_shown_as_tables_and_as_json(self):
+        # Guards against output that programs cannot read, and against terminal control from a remote text.
+        answers = {
+            ("GET", "/admin/config"): CONFIG,
+            ("GET", "/admin/status"): (200, {"entry": {"id": "e1"}, "domains": [{"name": "d\u001b[2J", "live": 3}]}),
+            ("GET", "/admin/targets"): (200, {"targets": [{"id": "t1", "domain": "d", "load": {"running": 2}}]}),
+            ("GET", "/admin/config/history?limit=3"): (200, {"entries": [
+                {"version": 41, "author": "ada", "time": "2026", "change_id": "c", "paths": ["/x"]}]}),
+            ("GET", "/admin/config/diff?from=1&to=2"): (200, {"patch": [{"op": "remove", "path": "/x"}]}),
+            ("GET", "/admin/config/in_force?version=41"): (200, {"version": 41, "in_force": 2, "total": 3,
+                                                                 "behind": ["agent-7"]}),
+            ("GET", "/admin/explain/r1"): (200, {"request_id": "r1", "attempts": [{"target": "e2"}]}),
+            ("GET", "/admin/dump?process=a%20b"): (200, {"process": "a b", "sections": {"routing": {"n": 1}}}),
+        }
+        cases = [
+            (["status"], ["entry.id  e1", "LIVE", "d?[2J"]), (["target", "list"], ["DOMAIN", '{"running":2}']),
+            (["config", "get"], ["version 41"]), (["config", "history", "--limit", "3"], ["ada", '["/x"]']),
+            (["config", "diff", "1", "2"], ['"op":"remove"']), (["config", "in-force"], ["2 of 3", "behind: agent-7"]),
+            (["explain", "r1"], ["request_id  r1", "e2"]), (["dump", "a b"], ["sections.routing.n  1"]),
+        ]
+        with FakeEntry(answers) as entry:
+            for arguments, texts in cases:
+                with self.subTest(arguments=arguments):
+                    self.check(run([entry.url], *arguments), 0, *texts)
+                    path = entry.server.seen[-1][1]
+                    machine = run([entry.url], *arguments, "--json")
+                    self.assertEqual(json.loads(machine.stdout), answers[("GET", path)][1])
+            self.check(run([entry.url], "explain", "r2", "--json"), 1, '"exit_code":1', "no such path")
+        for strange in ({}, [], 7, {"version": 1}, "{", ""):
+            with self.subTest(strange=strange), FakeEntry({("GET", "/admin/config"): (200, strange)}) as entry:
+                self.check(run([entry.url], "config", "get"), 1, "marigoldctl:")
+
+    def test_a_change_is_followed_until_it_is_in_force(self):
+        # Guards against a change that is taken for done while some processes still use the earlier version.
+        behind = (200, {"version": 42, "in_force": 2, "total": 3, "behind": ["a"]})
+        everywhere = (200, {"version": 42, "in_force": 3, "total": 3, "behind": []})
+        for states, code, text in (([behind, everywhere], 0, "in force at 3 of 3"), ([behind], 1, "not in force")):
+            with self.subTest(code=code), FakeEntry({
+                    ("GET", "/admin/config"): CONFIG, ("GET", "/admin/config/in_force?version=42"): states,
+                    ("POST", "/admin/domains/d"): (200, {"outcome": "accepted", "version": 42})}) as entry:
+                self.check(run([entry.url], "domain", "in", "d", "--wait", "1"), code, text)
+
+    def test_keys_are_shown_once_or_reported_as_lost(self):
+        # Guards against a team without a usable key after a lost answer.
+        key = "mb_t_" + "1" * 64
+        accepted = (200, {"outcome": "accepted", "version": 42})
+        for answer, text in (((200, {"outcome": "accepted", "version": 42, "key": key}), key), (LOST, "key was lost")):
+            with self.subTest(text=text), FakeEntry({
+                    ("GET", "/admin/config"): CONFIG, ("POST", "/admin/teams"): answer,
+                    ("GET", "/admin/config/change/ID"): accepted}) as entry:
+                self.check(run([entry.url], "team", "add", "t", "--weight", "2", "--burst", "5"), 0, text)
+        with FakeEntry({("GET", "/admin/config"): CONFIG,
+                        ("POST", "/admin/teams/t/rotate"): (200, {"key": key})}) as entry:
+            self.check(run([entry.url], "team", "key", "rotate", "t", "--yes"), 0, key)
+
+    def test_help_and_keys_need_no_entry(self):
+        # Guards against help that is out of reach during an outage.
+        for arguments, text in ((["--help"], "Exit codes"), (["domain", "out", "--help"], "Example:"),
+                                (["--version"], "marigoldctl ")):
+            self.check(run([dead_entry()], *arguments, key=None), 0, text)
+        keys = [run([], "key", "new").stdout.strip() for _ in range(3)]
+        self.assertEqual(len(set(keys)), 3)
+        self.assertEqual(sorted(key[:13] for key in keys), [key[:13] for key in keys])
+        for key in keys:
+            self.assertTrue(re.fullmatch("[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}", key))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/libs/operate/access_control_test.cpp
+++ b/tests/libs/operate/access_control_test.cpp
@@ -177,3 +177,19 @@
     CHECK(lines == 2);
     CHECK(refusals.total() == 1001);
 }
+
+TEST_CASE("a UUIDv7 carries its time and sorts by it")
+{
+    // Guards against idempotency keys that the window check of the claim ledger refuses.
+    CHECK(rc::check("time and order", [](std::uint64_t seed) {
+        const auto at = *rc::gen::inRange<std::int64_t>(0, (1LL << 48) - 1);
+        const auto text = makeUuidV7(base::wall_time(std::chrono::milliseconds(at)), seededBytes(seed));
+        const auto later
+            = makeUuidV7(base::wall_time(std::chrono::milliseconds(at + 1)), seededBytes(seed + 1));
+        RC_ASSERT(text.size() == 36U);
+        RC_ASSERT(std::stoll(text.substr(0, 8) + text.substr(9, 4), nullptr, 16) == at);
+        RC_ASSERT(text[14] == '7');
+        RC_ASSERT(std::string("89ab").find(text[19]) != std::string::npos);
+        RC_ASSERT(text < later);
+    }));
+}
