--- a/src/libs/agent/block_mover.h
+++ b/src/libs/agent/block_mover.h
@@ -16,7 +16,7 @@
     /// loaded blocks, which may be zero: the engine computes the rest.
     virtual void load(const protocol::run_request& request, std::function<void(int blocks)> done) = 0;
 
-    /// Saves the blocks of a finished run to the store that it names, in the background.
+    /// Saves the blocks of a run whose prefill is done to the store that it names, in the background.
     virtual void save(const protocol::run_request& request) = 0;
 };
 
--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -173,8 +173,12 @@
     // A resumed stream may repeat tokens; a gap shows at its end as a break.
     if (!run || next.index != run->received)
         return;
-    if (run->received++ == 0)
+    if (run->received++ == 0) {
         admission.prefillDone(run->work);
+        // The blocks exist now; a busy engine may evict them before the run ends.
+        if (!run->isRecovered && !run->request.saveTo.empty())
+            blocks.save(run->request);
+    }
     emit(*run,
         { .attempt = run->attempt,
             .epoch = run->request.epoch,
@@ -236,8 +240,6 @@
             = std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(prefill))
             + opts.tokenTime * (static_cast<int>(end.completionTokens) + 1);
         admission.setBound(ramp.observe(clock.now() - run.startedAt, expected));
-        if (!run.request.saveTo.empty())
-            blocks.save(run.request);
     }
     erase(run);
 }
