Verify a domain before a removal, and repeat the synchronisation after a start

Two faults that the membership properties found. Now a sample of up to 16 members is asked before a removal. And a process that first agreed with another that had just started knew half of the fleet until the next synchronisation 30 s later; the interval now doubles from 250 ms.

--- a/src/libs/control/membership.cpp
+++ b/src/libs/control/membership.cpp
@@ -35,6 +35,7 @@
     m_nextProbe = now + base::duration(static_cast<std::int64_t>(random.below(opts.probeInterval.count())));
     m_nextRemovedProbe = now + opts.syncInterval / 6;
     m_nextSync = now;
+    m_syncWait = opts.joinInterval;
     refreshSelf();
 }
 
@@ -43,6 +44,7 @@
     std::erase(seeds, m_self.id);
     m_seeds = std::move(seeds);
     m_joined = m_seeds.empty();
+    m_syncWait = m_options.joinInterval;
     m_nextSync = m_clock.now();
 }
 
@@ -91,7 +93,7 @@
         return false;
     m_probe = {};
     m_relays.clear();
-    m_probeResults.clear();
+    m_verification = {};
     rejoin(m_self.incarnation + 1);
     return true;
 }
@@ -102,6 +104,7 @@
     refreshSelf();
     m_log.write(events::selfRejoined, { { "incarnation", std::to_string(incarnation) } });
     m_nextSync = m_clock.now();
+    m_syncWait = m_options.joinInterval;
     if (m_listener.rejoined)
         m_listener.rejoined();
 }
--- a/src/libs/control/membership.h
+++ b/src/libs/control/membership.h
@@ -8,8 +8,8 @@
 
 #include <platform/platform.h>
 
-#include <deque>
 #include <functional>
+#include <map>
 
 namespace marigold::control {
 
@@ -118,6 +118,14 @@
         base::time_point until;
     };
 
+    /// Pings to a sample of the domain before a removal.
+    struct verification {
+        bool active = false;
+        base::time_point until;
+        std::map<std::uint32_t, std::string> asked; ///< Pings that were not answered yet.
+        std::size_t sample = 0;
+    };
+
     // membership.cpp
     void send(const std::string& to, membership_message message);
     void handle(const membership_message& message);
@@ -143,7 +151,9 @@
     void handlePingRequest(const membership_message& message);
     void suspect(const std::string& id, base::time_point now);
     void tickSuspects(base::time_point now);
-    bool isRemovalHeld() const;
+    void startVerification(base::time_point now);
+    bool endVerification();
+    void decideSuspects(base::time_point now);
     base::duration suspicionTimeout() const;
 
     // membership_sync.cpp
@@ -175,13 +185,16 @@
     std::vector<std::string> m_probeOrder;
     std::vector<std::string> m_probeFirst;
     std::vector<relay> m_relays;
-    std::deque<bool> m_probeResults; ///< The last direct probes, newest last.
+    verification m_verification;
+    bool m_removalHeld = false; ///< Result of the last verification.
+    base::time_point m_nextRecheck; ///< When unreachable members are considered again.
     base::time_point m_nextSuspectScan;
     base::time_point m_nextRemovedProbe;
 
     std::vector<std::string> m_seeds;
     bool m_joined = false;
     base::time_point m_nextSync;
+    base::duration m_syncWait; ///< Doubles from the join interval up to the sync interval.
     base::time_point m_nextLoad;
     int m_spreadClass = -1; ///< Class of the load that was spread last; -1 to spread again.
     int m_noticesLeft = 0; ///< Repeats of the notice of the own version.
--- a/src/libs/control/membership_probe.cpp
+++ b/src/libs/control/membership_probe.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 /// \file
 /// Failure detection in `membership`: probes, suspicion and removal.
@@ -11,8 +12,11 @@
 
 namespace {
 
-constexpr std::size_t probeResultsKept = 10;
-constexpr std::size_t fewestResults = 3; ///< Fewer probes say nothing about this process's own network.
+/// Members that are asked before a removal: all of a small domain, and a sample of a large one, in which the
+/// members on a small side of a partition would not find half of the other side suspect in time.
+constexpr std::size_t verificationSample = 16;
+constexpr std::size_t fewestVerified = 2; ///< Fewer members say nothing about this process's own network.
+constexpr auto verificationTime = std::chrono::milliseconds(500);
 constexpr auto suspectScanInterval = std::chrono::milliseconds(500);
 constexpr auto removedProbeInterval = std::chrono::seconds(5);
 
@@ -55,9 +59,6 @@
     if (!m_probe.active)
         return;
     m_probe.active = false;
-    m_probeResults.push_back(m_probe.answered);
-    if (m_probeResults.size() > probeResultsKept)
-        m_probeResults.pop_front();
     if (!m_probe.answered)
         suspect(m_probe.target, now);
 }
@@ -129,6 +130,8 @@
         m_probe.answered = true;
         return;
     }
+    if (m_verification.asked.erase(message.sequence) > 0)
+        return;
     const auto pending = std::find_if(m_relays.begin(), m_relays.end(),
         [&](const relay& known) { return known.sequence == message.sequence; });
     if (pending == m_relays.end())
@@ -174,41 +177,73 @@
         static_cast<std::int64_t>(factor * static_cast<double>(m_options.suspicion.count())));
 }
 
-/// Removals stop while more than half of the domain is suspect, or while most of the own probes fail: then
-/// the network of this process is the likelier cause.
-bool membership::isRemovalHeld() const
+void membership::startVerification(base::time_point now)
 {
+    auto live = m_table.liveIn(m_self.failureDomain);
+    std::erase_if(live, [this](const tracked_member* known) { return known->info.id == m_self.id; });
+    m_verification = { .active = true, .until = now + verificationTime };
+    m_verification.sample = std::min(verificationSample, live.size());
+    for (std::size_t i = 0; i < m_verification.sample; ++i) {
+        std::swap(live[i], live[i + m_random.below(live.size() - i)]);
+        m_verification.asked[++m_sequence] = live[i]->info.id;
+    }
+    for (const auto& [sequence, id] : m_verification.asked)
+        send(id, { .type = message_type::Ping, .sequence = sequence });
+}
+
+/// Returns true when removals have to stop: more than half of the domain is suspect or did not answer now.
+/// Then a network partition, or the network of this process, is the likelier cause.
+bool membership::endVerification()
+{
+    std::set<std::string_view> doubted;
+    for (const auto& [sequence, id] : m_verification.asked)
+        doubted.insert(id);
+    const bool sampleFails
+        = m_verification.sample >= fewestVerified && 2 * m_verification.asked.size() > m_verification.sample;
     std::size_t others = 0;
-    std::size_t doubted = 0;
     for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
         if (known->info.id == m_self.id)
             continue;
         ++others;
-        doubted += known->info.state != member_state::Alive ? 1 : 0;
+        if (known->info.state != member_state::Alive)
+            doubted.insert(known->info.id);
     }
-    const auto failed
-        = static_cast<std::size_t>(std::count(m_probeResults.begin(), m_probeResults.end(), false));
-    const bool probesFail = m_probeResults.size() >= fewestResults && 2 * failed > m_probeResults.size();
-    return 2 * doubted > others || probesFail;
+    const bool held = sampleFails || 2 * doubted.size() > others;
+    m_verification = {};
+    return held;
 }
 
 void membership::tickSuspects(base::time_point now)
 {
+    if (m_verification.active && now >= m_verification.until) {
+        m_removalHeld = endVerification();
+        decideSuspects(now);
+    }
     if (now < m_nextSuspectScan)
         return;
     m_nextSuspectScan = now + suspectScanInterval;
     m_exchange.updateOwnSummary(m_self.configVersion);
     for (const auto& name : m_exchange.checkReachability())
         m_log.write(events::domainUnreachable, { { "domain", name } });
-    const bool held = isRemovalHeld();
+    m_table.forgetRemoved(now - m_options.tombstones);
+    if (m_verification.active)
+        return;
+    for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
+        const bool expired = known->info.state == member_state::Suspect && known->suspectUntil <= now;
+        const bool recheck = known->info.state == member_state::Unreachable && m_nextRecheck <= now;
+        if (expired || recheck)
+            return startVerification(now);
+    }
+}
+
+void membership::decideSuspects(base::time_point now)
+{
+    m_nextRecheck = now + suspicionTimeout();
     std::vector<std::string> changed;
-    for (auto& [id, known] : m_table.all()) {
-        if (known.info.failureDomain != m_self.failureDomain)
-            continue;
-        if (known.info.state == member_state::Suspect && known.suspectUntil <= now)
-            changed.push_back(id);
-        else if (known.info.state == member_state::Unreachable && !held)
-            changed.push_back(id);
+    for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
+        const bool expired = known->info.state == member_state::Suspect && known->suspectUntil <= now;
+        if (expired || (known->info.state == member_state::Unreachable && !m_removalHeld))
+            changed.push_back(known->info.id);
     }
     for (const auto& id : changed) {
         auto& known = *m_table.find(id);
@@ -216,13 +251,13 @@
             m_table.setState(id, member_state::Suspect, now);
             known.suspectUntil = now + suspicionTimeout();
         } else {
-            m_table.setState(id, held ? member_state::Unreachable : member_state::Dead, now);
+            m_table.setState(id, m_removalHeld ? member_state::Unreachable : member_state::Dead, now);
             m_queue.push(id, true);
-            m_log.write(held ? events::memberUnreachable : events::memberRemoved, { { "member", id } });
+            m_log.write(
+                m_removalHeld ? events::memberUnreachable : events::memberRemoved, { { "member", id } });
         }
         stateChanged(id, true);
     }
-    m_table.forgetRemoved(now - m_options.tombstones);
 }
 
 } // namespace marigold::control
--- a/src/libs/control/membership_sync.cpp
+++ b/src/libs/control/membership_sync.cpp
@@ -18,7 +18,10 @@
 {
     if (now < m_nextSync)
         return;
-    m_nextSync = now + (m_joined ? m_options.syncInterval : m_options.joinInterval);
+    // The first agreement may be with a process that has just started too, so that more follow soon.
+    if (m_joined)
+        m_syncWait = std::min(2 * m_syncWait, m_options.syncInterval);
+    m_nextSync = now + m_syncWait;
     auto peers = randomMembers(1, {});
     // A process that has not joined, or that sees nobody, goes back to its seeds.
     if ((!m_joined || peers.empty()) && !m_seeds.empty())
--- a/tests/libs/control/sample_config.h
+++ b/tests/libs/control/sample_config.h
@@ -20,12 +20,12 @@
         + R"("small":{"key_hashes":[],"block_secret":"s2"}},)"
         + R"("models":{"m":{"version":"v1","adapters":{"a":{"team":"big"}}}},)"
         + R"("services":{"orders":{"idempotent":["status"]}},)"
-        + R"("failure_domains":{"hall-bodo":{},"hall-alta":{"in_service":true}},)"
-        + R"("targets":{)" + targets
+        + R"("failure_domains":{"hall-bodo":{},"hall-alta":{"in_service":true}},)" + R"("targets":{)"
+        + targets
         + R"("s0":{"address":"10.0.1.0:7400","failure_domain":"hall-bodo","region":"nord","kind":"store"},)"
         + R"("p0":{"address":"10.0.2.0:7400","failure_domain":"hall-bodo","region":"nord","kind":"service",)"
-        + R"("service":"orders"}},)"
-        + R"("operators":{"op":{"key_hash":")" + hash + R"(","rights":["read","change"]}},)"
+        + R"("service":"orders"}},)" + R"("operators":{"op":{"key_hash":")" + hash
+        + R"(","rights":["read","change"]}},)"
         + R"("weight_stores":{"w":{"concurrent_loads":3}},"capacity_floor":0.5})";
     auto parsed = control::config_document::parse(text);
     return parsed.value();
