Let the agent refuse when its true wait is above the entry's limit

Reports are up to 1 s old, so the best candidate is often busy by the time a request reaches it. The router now gives each candidate the wait above which the next one is expected to be better, and admission, which knows the true wait, refuses above it as not_run with its present load. Presumed share at the first home 0.8 (was 0.5), preference for it 0.15 (was 0.25).

--- a/bench/support/fake_target.h
+++ b/bench/support/fake_target.h
@@ -24,6 +24,7 @@
     base::time_point loadedAt {}; ///< When the transfer ends.
     routing::priority priority = routing::priority::Normal;
     base::time_point deadline = base::time_point::max();
+    base::duration waitLimit = base::duration::max();
 };
 
 /// Engine with a prefix cache behind the admission of its agent. Prompts are prefilled one at a time, and
@@ -52,6 +53,7 @@
         , m_admission(time,
               { .bound = m_options.ramped ? m_ramp.bound() : m_options.slots,
                   .queueCapacity = m_options.queueCapacity,
+                  .prefillTokensPerSecond = m_options.prefillTokensPerSecond,
                   .start = [this](const routing::work& item) { begin(item.id); },
                   .refuse =
                       [this](const routing::work& item, const base::error&) {
@@ -68,6 +70,7 @@
         auto outcome = m_admission.submit({ .id = request.id,
             .priority = request.priority,
             .deadline = request.deadline,
+            .waitLimit = request.waitLimit,
             .prefillTokens
             = request.promptTokens - std::max(request.loadedTokens, cached(request.prefixKey)) });
         if (!outcome)
@@ -96,6 +99,17 @@
             = m_order.empty() ? base::duration::zero() : m_clock.now() - m_cache.at(m_order.back()).usedAt };
     }
 
+    /// Returns the report with the true backlog, which the agent only estimates.
+    routing::load_report exactReport() const
+    {
+        routing::load_report out = report();
+        const base::duration backlog = std::max(m_prefillFreeAt - m_clock.now(), base::duration::zero());
+        out.pendingPrefillTokens = static_cast<std::int64_t>(
+            std::chrono::duration<double>(backlog).count() * out.prefillTokensPerSecond);
+        out.pendingPrefillTokens += m_awaitedTokens;
+        return out;
+    }
+
     /// Empties the engine's memory and makes it cold; the ramp learns of it only when \a known.
     void turnCold(bool known)
     {
@@ -143,7 +157,12 @@
         // The engine prefills other prompts while the blocks of this one are on their way.
         const base::time_point now = m_clock.now();
         const base::duration transfer = std::max(m_requests.at(id).loadedAt - now, base::duration::zero());
-        m_timers.runAfter(transfer, [this, id, now] { prefill(id, now); });
+        const int tokens = m_requests.at(id).promptTokens - m_requests.at(id).loadedTokens;
+        m_awaitedTokens += tokens;
+        m_timers.runAfter(transfer, [this, id, now, tokens] {
+            m_awaitedTokens -= tokens;
+            prefill(id, now);
+        });
     }
 
     void prefill(routing::work_id id, base::time_point startedAt)
@@ -209,6 +228,7 @@
     std::int64_t m_cachedTokens = 0;
     std::int64_t m_warmth = 0;
     int m_startsAboveRamp = 0;
+    std::int64_t m_awaitedTokens = 0; ///< To be prefilled after a transfer.
     base::time_point m_prefillFreeAt {};
 };
 
--- a/bench/support/return_workload.h
+++ b/bench/support/return_workload.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "measure.h"
+
 #include <base/base.h>
 #include <routing/routing.h>
 
@@ -110,4 +112,19 @@
     return out;
 }
 
+/// What one run of an arrival list yielded, after the warm-up.
+struct outcome {
+    std::vector<double> firstToken; ///< Seconds, of requests that are not drafts.
+    double prefixTokens = 0;
+    double recomputedTokens = 0;
+    double bytes = 0;
+    double linkBusySeconds = 0;
+    int shed = 0;
+    int refusals = 0;
+    int requests = 0;
+
+    double recomputedShare() const { return recomputedTokens / std::max(prefixTokens, 1.0); }
+    double ttft(double share) const { return percentile(firstToken, share); }
+};
+
 } // namespace marigold::bench
--- a/src/libs/routing/admission.cpp
+++ b/src/libs/routing/admission.cpp
@@ -77,6 +77,23 @@
     return m_serviceTime * ahead / m_options.bound;
 }
 
+base::duration admission::prefillTime(std::int64_t tokens) const
+{
+    const double seconds = static_cast<double>(tokens) / m_options.prefillTokensPerSecond;
+    return base::duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+base::duration admission::prefillBacklog() const
+{
+    return std::max(m_prefillsEnd - m_clock.now(), base::duration::zero());
+}
+
+std::int64_t admission::pendingPrefillTokens() const
+{
+    const double seconds = std::chrono::duration<double>(prefillBacklog()).count();
+    return static_cast<std::int64_t>(seconds * m_options.prefillTokensPerSecond);
+}
+
 base::result<admission_outcome> admission::submit(const work& item)
 {
     expire();
@@ -85,10 +102,16 @@
             refusal(base::error_reason::DeadlineExceeded, "the deadline has passed", base::duration::zero()));
     // Queued work starts as soon as it can, so whatever could start now overtakes none that could too.
     if (canStart(item)) {
+        if (prefillBacklog() > item.waitLimit)
+            return tl::unexpected(refusal(
+                base::error_reason::Overloaded, "the prefill backlog is above the limit", prefillBacklog()));
         begin(item);
         return admission_outcome::Started;
     }
     const base::duration wait = expectedWait(item.priority);
+    if (wait > item.waitLimit)
+        return tl::unexpected(
+            refusal(base::error_reason::Overloaded, "the expected wait is above the limit", wait));
     if (item.deadline - m_clock.now() < wait)
         return tl::unexpected(
             refusal(base::error_reason::DeadlineExceeded, "the queue is too long for the deadline", wait));
@@ -115,6 +138,7 @@
 {
     m_running.emplace(item.id, run { .item = item, .startedAt = m_clock.now() });
     m_pendingTokens += item.prefillTokens;
+    m_prefillsEnd = std::max(m_prefillsEnd, m_clock.now()) + prefillTime(item.prefillTokens);
     if (item.priority != priority::Interactive)
         ++m_nonInteractive;
     if (isLong(item))
@@ -128,6 +152,9 @@
         return;
     found->second.prefilling = false;
     m_pendingTokens -= found->second.item.prefillTokens;
+    // Corrects the estimate for what was slower than expected, such as a prompt whose blocks are on their
+    // way.
+    m_prefillsEnd = m_clock.now() + prefillTime(m_pendingTokens);
     if (!isLong(found->second.item))
         return;
     --m_longPrefills;
--- a/src/libs/routing/admission.h
+++ b/src/libs/routing/admission.h
@@ -29,6 +29,8 @@
     work_id id = 0;
     routing::priority priority = routing::priority::Normal;
     base::time_point deadline = base::time_point::max(); ///< Latest start.
+    /// Refuse when the expected wait is longer, because the entry knows a target that is then sooner.
+    base::duration waitLimit = base::duration::max();
     int prefillTokens = 0;
 };
 
@@ -51,6 +53,7 @@
         int longPrefillTokens = 8'000; ///< A prefill above this is long.
         int longPrefills = 1; ///< Long prefills of non-interactive work at a time.
         std::size_t queueCapacity = 64;
+        double prefillTokensPerSecond = 4'000; ///< Of the engine; corrected by `setPrefillSpeed`.
         base::duration startLag { 100'000 }; ///< A start this long ago is contained in an engine's report.
         std::function<void(const work&)> start = {}; ///< Queued work starts now.
         std::function<void(const work&, const base::error&)> refuse
@@ -86,13 +89,21 @@
     /// Returns the earliest deadline in the queue.
     base::time_point nextDeadline() const;
 
-    /// Returns the expected time until work that is submitted now would start.
+    /// Sets the prefill speed that the engine shows at present.
+    void setPrefillSpeed(double tokensPerSecond) { m_options.prefillTokensPerSecond = tokensPerSecond; }
+
+    /// Returns the expected time until work that is submitted now and has to queue would start.
     base::duration expectedWait(routing::priority urgency) const;
 
+    /// Returns the expected time until the prefill of work that starts now would begin.
+    base::duration prefillBacklog() const;
+
     int bound() const { return m_options.bound; }
     int running() const { return static_cast<int>(m_running.size()) + m_adopted; }
     int queued() const;
-    std::int64_t pendingPrefillTokens() const { return m_pendingTokens; }
+
+    /// Returns the tokens of started work that are still to be prefilled, by the time that passed.
+    std::int64_t pendingPrefillTokens() const;
 
     /// Returns the smoothed time that a run holds a slot; zero before the first end.
     base::duration serviceTime() const { return m_serviceTime; }
@@ -104,6 +115,7 @@
         bool prefilling = true;
     };
 
+    base::duration prefillTime(std::int64_t tokens) const;
     bool isLong(const work& item) const;
     bool canStart(const work& item) const;
     void begin(const work& item);
@@ -117,7 +129,8 @@
     int m_adopted;
     int m_nonInteractive = 0; ///< Running, without adopted work.
     int m_longPrefills = 0;
-    std::int64_t m_pendingTokens = 0;
+    std::int64_t m_pendingTokens = 0; ///< Of running work whose prefill is not done.
+    base::time_point m_prefillsEnd {}; ///< When they should be done.
     base::duration m_serviceTime { 0 };
     bool m_starting = false;
     std::unordered_map<work_id, run> m_running;
--- a/src/libs/routing/cost_model.h
+++ b/src/libs/routing/cost_model.h
@@ -39,6 +39,7 @@
 struct cost_estimate {
     context_action action = context_action::Recompute;
     double waitSeconds = 0; ///< Until the target can begin the prefill.
+    double beginSeconds = 0; ///< Until the prefill begins: the wait or the transfer, whichever is longer.
     double firstTokenSeconds = 0;
     int recomputedTokens = 0; ///< Prefix tokens that are computed again.
     int prefillTokens = 0; ///< All tokens that the engine computes.
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -221,9 +221,20 @@
     route_decision out;
     out.m_count = std::min(pool.count, route_decision::capacity);
     std::copy_n(pool.items.begin(), out.m_count, out.m_items.begin());
+    limitWaits({ out.m_items.data(), out.m_count });
     return out;
 }
 
+void router::limitWaits(std::span<candidate> items) const
+{
+    const double refusal = std::chrono::duration<double>(m_options.refusalTime).count();
+    for (std::size_t i = 0; i + 1 < items.size(); ++i) {
+        const double spare = std::max(items[i + 1].cost.score - items[i].cost.score, 0.0);
+        items[i].waitLimit
+            = base::duration(static_cast<std::int64_t>((items[i].cost.beginSeconds + spare + refusal) * 1e6));
+    }
+}
+
 std::string router::explain(const candidate& item) const
 {
     constexpr std::array<std::string_view, 10> names { "prefix_hint", "prefix_home", "sampled", "fallback",
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -70,6 +70,9 @@
     target_index target = noTarget;
     std::uint16_t reasons = 0;
     cost_estimate cost = {};
+    /// The wait at this target above which the next candidate is expected to be better. The entry passes it
+    /// to the agent, which knows the true wait and refuses above it; the report that led here may be stale.
+    base::duration waitLimit = base::duration::max();
 
     bool has(route_reason reason) const { return (reasons & static_cast<std::uint16_t>(reason)) != 0; }
 };
@@ -102,10 +105,12 @@
         base::duration domainPreference { 5'000 };
         /// Share of the prompt's prefill time by which a prefix home may be slower than another target; a
         /// later return of the prompt finds its prefix there.
-        double homePreference = 0.25;
+        double homePreference = 0.15;
         /// Share of the prefix that its first home is presumed to hold, while the prefix was idle for less
         /// than the home keeps context; most hints are at the entry that served the last turn.
-        double homeHitShare = 0.5;
+        double homeHitShare = 0.8;
+        /// Cost of a refusal: one round trip to the agent.
+        base::duration refusalTime { 2'000 };
     };
 
     /// \a probes may be null; then ejected targets are never probed.
@@ -130,6 +135,7 @@
     void addProbe(draft& pool, base::time_point now);
     int expectedInEngine(
         const route_request& request, const candidate& item, const load_estimate& load) const;
+    void limitWaits(std::span<candidate> items) const;
     void weigh(draft& pool, base::time_point now) const;
 
     const target_table& m_table;
