--- a/src/libs/control/domain_exchange.cpp
+++ b/src/libs/control/domain_exchange.cpp
@@ -6,7 +6,12 @@
 
 namespace {
 
-constexpr std::size_t recordsPerDigest = 18;
+constexpr std::size_t statesPerDigest = 16;
+constexpr std::size_t digestBytes = 1000; ///< Of records; leaves room for the rest of the datagram.
+constexpr std::size_t recordBytes = 44; ///< Of a record without its id, at most.
+/// Loads that each of the two delegates adds to a digest within its region. More would take the delegates of
+/// 20 domains of 79 above 3 KB/s.
+constexpr std::size_t loadsPerDigest = 3;
 constexpr unsigned summarySends = 8; ///< Times that one process piggybacks a summary: 4 times log10 of 79.
 constexpr auto refreshInterval = std::chrono::seconds(1);
 
@@ -42,6 +47,7 @@
     const bool was = m_isDelegate;
     m_isDelegate = own != delegates.end();
     m_rank = static_cast<std::size_t>(own - delegates.begin());
+    m_delegates = delegates.size();
     m_isFirst = m_isDelegate && m_rank == 0;
     for (const auto& [id, known] : m_table.all()) {
         const auto& info = known.info;
@@ -53,6 +59,7 @@
         return;
     for (auto& [name, peer] : m_peers) {
         peer.confirmed = 0;
+        peer.received.clear();
         peer.lastHeard = now;
         peer.declared = false;
         peer.nextDigest = now;
@@ -75,32 +82,60 @@
             peer.nextResend = now + m_options.resend;
         }
         if (const auto delegates = m_table.delegatesOf(name); !delegates.empty())
-            out.push_back(digestFor(name, peer, delegates));
+            out.push_back(digestFor(peer, delegates));
     }
     return out;
 }
 
-domain_exchange::outgoing domain_exchange::digestFor(
-    const std::string& domain, peer_domain& peer, const std::vector<std::string>& delegates)
+/// Adds the records whose state changed since the last confirmed change, and returns what they cover.
+std::uint64_t domain_exchange::addStates(membership_message& message, const peer_domain& peer) const
 {
-    std::vector<const tracked_member*> changed;
-    for (const auto& [id, known] : m_table.all())
-        if (known.info.failureDomain == m_self.failureDomain && known.change > peer.confirmed)
-            changed.push_back(&known);
+    auto changed = m_table.membersOf(m_self.failureDomain);
+    std::erase_if(changed, [&](const tracked_member* known) { return known->change <= peer.confirmed; });
     std::sort(changed.begin(), changed.end(),
         [](const tracked_member* a, const tracked_member* b) { return a->change < b->change; });
-    membership_message message { .type = message_type::Digest, .upTo = m_table.lastChange() };
-    if (changed.size() > recordsPerDigest) {
-        changed.resize(recordsPerDigest);
-        message.upTo = changed.back()->change;
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < changed.size(); ++i) {
+        bytes += recordBytes + changed[i]->info.id.size();
+        if (i == statesPerDigest || bytes > digestBytes)
+            return changed[i - 1]->change;
+        message.updates.push_back(changed[i]->info);
+    }
+    return m_table.lastChange();
+}
+
+/// The delegates of a domain share its members, so that each load crosses once. A lost one is a stale hint.
+void domain_exchange::addLoads(membership_message& message, peer_domain& peer) const
+{
+    auto changed = m_table.membersOf(m_self.failureDomain);
+    std::erase_if(changed, [&](const tracked_member* known) {
+        return known->loadChange <= peer.loadsSent || base::hash64(known->info.id) % m_delegates != m_rank;
+    });
+    std::sort(changed.begin(), changed.end(),
+        [](const tracked_member* a, const tracked_member* b) { return a->loadChange < b->loadChange; });
+    for (std::size_t i = 0; i < std::min(loadsPerDigest, changed.size()); ++i) {
+        message.updates.push_back(changed[i]->info);
+        peer.loadsSent = changed[i]->loadChange;
     }
-    for (const auto* known : changed)
-        message.updates.push_back(known->info);
+}
+
+domain_exchange::outgoing domain_exchange::digestFor(
+    peer_domain& peer, const std::vector<std::string>& delegates)
+{
+    membership_message message { .type = message_type::Digest };
+    message.upTo = addStates(message, peer);
+    if (peer.sameRegion && message.updates.empty())
+        addLoads(message, peer);
     message.domains.push_back(ownSummary());
-    // The two delegates of a domain alternate over the two of the other, so that a broken pair matters
-    // little.
-    message.subject = domain;
-    return { .to = delegates[(m_rank + peer.round++) % delegates.size()], .message = std::move(message) };
+    // Delegates of equal rank meet, so that each digest confirms the former one; a single one serves both.
+    const std::size_t shift = m_delegates < delegates.size() ? peer.round++ : 0;
+    const std::string& to = delegates[(m_rank + shift) % delegates.size()];
+    // The incarnation tells a restarted delegate that a confirmation is not about its own digests.
+    if (const auto receipt = peer.received.find(to); receipt != peer.received.end()) {
+        message.confirmed = receipt->second.upTo;
+        message.subject = std::to_string(receipt->second.incarnation);
+    }
+    return { .to = to, .message = std::move(message) };
 }
 
 void domain_exchange::hurry()
@@ -127,21 +162,19 @@
     }
 }
 
-membership_message domain_exchange::answer(const membership_message& digest)
+void domain_exchange::handleDigest(const membership_message& digest)
 {
     heard(digest.sender.failureDomain, digest.domains);
-    return { .type = message_type::DigestAck,
-        .sequence = digest.sequence,
-        .upTo = digest.upTo,
-        .domains = { ownSummary() } };
-}
-
-void domain_exchange::handleAck(const membership_message& ack)
-{
-    heard(ack.sender.failureDomain, ack.domains);
-    const auto peer = m_peers.find(ack.sender.failureDomain);
-    if (peer != m_peers.end() && ack.upTo <= m_table.lastChange())
-        peer->second.confirmed = std::max(peer->second.confirmed, ack.upTo);
+    const auto peer = m_peers.find(digest.sender.failureDomain);
+    if (peer == m_peers.end())
+        return;
+    auto& receipt = peer->second.received[digest.sender.id];
+    // A digest that was overtaken by a later one covers less.
+    if (receipt.incarnation != digest.sender.incarnation)
+        receipt = { .incarnation = digest.sender.incarnation };
+    receipt.upTo = std::max(receipt.upTo, digest.upTo);
+    if (digest.subject == std::to_string(m_self.incarnation) && digest.confirmed <= m_table.lastChange())
+        peer->second.confirmed = std::max(peer->second.confirmed, digest.confirmed);
 }
 
 bool domain_exchange::merge(const domain_summary& summary)
@@ -197,10 +230,10 @@
     return known == m_summaries.end() ? domain_summary { .name = m_self.failureDomain } : known->second;
 }
 
-void domain_exchange::updateOwnSummary(std::uint64_t ownVersion)
+bool domain_exchange::updateOwnSummary(std::uint64_t ownVersion)
 {
     if (!m_isFirst)
-        return;
+        return false;
     domain_summary summary { .name = m_self.failureDomain, .lowestVersion = ownVersion };
     for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
         if (known->info.state == member_state::Unreachable)
@@ -209,16 +242,25 @@
         summary.behind += known->info.configVersion < ownVersion ? 1 : 0;
     }
     const auto known = m_summaries.find(m_self.failureDomain);
-    if (known == m_summaries.end() || !sameContent(known->second, summary))
-        publish(std::move(summary));
+    if (known != m_summaries.end() && sameContent(known->second, summary))
+        return false;
+    publish(std::move(summary));
+    return true;
 }
 
 std::vector<domain_summary> domain_exchange::piggyback(std::size_t most)
 {
+    std::vector<std::pair<unsigned, std::string_view>> order;
+    for (const auto& [name, sent] : m_news)
+        order.emplace_back(sent, name);
+    std::sort(order.begin(), order.end());
+    order.resize(std::min(order.size(), most));
     std::vector<domain_summary> out;
-    for (auto news = m_news.begin(); news != m_news.end() && out.size() < most;) {
-        out.push_back(m_summaries[news->first]);
-        news = ++news->second >= summarySends ? m_news.erase(news) : std::next(news);
+    for (const auto& [sent, name] : order) {
+        const auto news = m_news.find(name);
+        out.push_back(m_summaries.find(name)->second);
+        if (++news->second >= summarySends)
+            m_news.erase(news);
     }
     return out;
 }
--- a/src/libs/control/domain_exchange.h
+++ b/src/libs/control/domain_exchange.h
@@ -7,7 +7,8 @@
 /// Digests between the delegates of failure domains (design page, 4.5).
 ///
 /// A delegate sends to each other domain the records of its own that changed since the last digest which that
-/// domain confirmed. Without changes, the digest still says that the domain can be reached.
+/// domain confirmed, and within a region some loads. Without changes, the digest still says that the domain
+/// can be reached.
 class domain_exchange {
 public:
     struct options {
@@ -32,10 +33,8 @@
     /// Lets all digests fall due now: news that shall not wait.
     void hurry();
 
-    /// Handles a digest whose records have been merged; returns the answer.
-    membership_message answer(const membership_message& digest);
-
-    void handleAck(const membership_message& ack);
+    /// Handles a digest whose records have been merged.
+    void handleDigest(const membership_message& digest);
 
     /// Merges the summary of a domain; says whether it was news.
     bool merge(const domain_summary& summary);
@@ -49,8 +48,8 @@
     /// Says whether this process is one of its domain's delegates, as of the last second.
     bool isDelegate() const { return m_isDelegate; }
 
-    /// Recomputes the summary of the own domain; its first delegate publishes it.
-    void updateOwnSummary(std::uint64_t ownVersion);
+    /// Recomputes the summary of the own domain, which its first delegate publishes; says whether it changed.
+    bool updateOwnSummary(std::uint64_t ownVersion);
 
     /// Returns up to \a most summaries to piggyback: those with news first.
     std::vector<domain_summary> piggyback(std::size_t most);
@@ -58,9 +57,17 @@
     const std::map<std::string, domain_summary, std::less<>>& summaries() const { return m_summaries; }
 
 private:
+    /// What to confirm to a delegate of another domain.
+    struct receipt {
+        std::uint64_t incarnation = 0;
+        std::uint64_t upTo = 0;
+    };
+
     struct peer_domain {
         bool sameRegion = false;
         std::uint64_t confirmed = 0; ///< Last change that the domain has confirmed.
+        std::uint64_t loadsSent = 0; ///< Last change of load that was sent; loads are not confirmed.
+        std::map<std::string, receipt> received; ///< By sending delegate.
         base::time_point nextDigest {};
         base::time_point lastHeard {};
         std::size_t round = 0;
@@ -73,8 +80,9 @@
     void heard(const std::string& domain, const std::vector<domain_summary>& summaries);
     void publish(domain_summary summary);
     base::duration interval(const peer_domain& peer) const;
-    outgoing digestFor(
-        const std::string& domain, peer_domain& peer, const std::vector<std::string>& delegates);
+    std::uint64_t addStates(membership_message& message, const peer_domain& peer) const;
+    void addLoads(membership_message& message, peer_domain& peer) const;
+    outgoing digestFor(peer_domain& peer, const std::vector<std::string>& delegates);
 
     const member& m_self;
     const member_table& m_table;
@@ -87,6 +95,7 @@
     bool m_isDelegate = false;
     bool m_isFirst = false; ///< The first of the delegates.
     std::size_t m_rank = 0;
+    std::size_t m_delegates = 0; ///< Delegates of the own domain.
     base::time_point m_nextRefresh {};
 };
 
--- a/src/libs/control/member_table.cpp
+++ b/src/libs/control/member_table.cpp
@@ -1,7 +1,6 @@
 #include "member_table.h"
 
 #include <algorithm>
-#include <set>
 
 namespace marigold::control {
 
@@ -21,7 +20,8 @@
         auto& added = m_members[record.id];
         added.info = record;
         added.removedAt = now;
-        added.change = ++m_change;
+        added.change = added.loadChange = ++m_change;
+        m_byDomain[record.failureDomain].push_back(&added);
         return table_change::State;
     }
     auto& known = found->second;
@@ -31,21 +31,30 @@
         return table_change::None;
     const bool stateChanged = newer || record.state > info.state;
     const bool loadNewer = record.loadSequence > info.loadSequence;
+    const bool takesLoad = loadNewer || (direct && record.loadSequence == info.loadSequence);
+    const bool swapChanged = takesLoad
+        && (record.load.rampStep != info.load.rampStep || record.load.weights != info.load.weights);
     const bool versionUp = record.configVersion > info.configVersion;
     if (newer) {
+        if (info.failureDomain != record.failureDomain) {
+            std::erase(m_byDomain[info.failureDomain], &known);
+            m_byDomain[record.failureDomain].push_back(&known);
+        }
         info = record;
         known.requestFailures = 0;
     } else {
         info.state = std::max(info.state, record.state);
-        if (loadNewer || (direct && record.loadSequence == info.loadSequence))
+        if (takesLoad)
             info.load = record.load;
         info.loadSequence = std::max(info.loadSequence, record.loadSequence);
         info.configVersion = std::max(info.configVersion, record.configVersion);
     }
     if (stateChanged && info.state == member_state::Dead)
         known.removedAt = now;
-    if (stateChanged || loadNewer)
-        known.change = ++m_change;
+    if (stateChanged || loadNewer || swapChanged)
+        known.loadChange = ++m_change;
+    if (stateChanged || swapChanged)
+        known.change = known.loadChange;
     if (stateChanged)
         return table_change::State;
     return loadNewer ? table_change::Load : versionUp ? table_change::Minor : table_change::None;
@@ -57,7 +66,7 @@
     if (!known || known->info.state == state)
         return table_change::None;
     known->info.state = state;
-    known->change = ++m_change;
+    known->change = known->loadChange = ++m_change;
     if (state == member_state::Dead)
         known->removedAt = now;
     return table_change::State;
@@ -77,38 +86,64 @@
 
 void member_table::forgetRemoved(base::time_point before)
 {
-    std::erase_if(m_members, [&](const auto& entry) {
-        return entry.second.info.state == member_state::Dead && entry.second.removedAt < before;
-    });
+    for (auto entry = m_members.begin(); entry != m_members.end();) {
+        auto& known = entry->second;
+        if (known.info.state != member_state::Dead || known.removedAt >= before) {
+            ++entry;
+            continue;
+        }
+        std::erase(m_byDomain[known.info.failureDomain], &known);
+        entry = m_members.erase(entry);
+    }
+}
+
+const std::vector<tracked_member*>& member_table::in(std::string_view domain) const
+{
+    static const std::vector<tracked_member*> none;
+    const auto found = m_byDomain.find(domain);
+    return found == m_byDomain.end() ? none : found->second;
 }
 
 std::vector<std::string> member_table::domains() const
 {
-    std::set<std::string_view> names;
-    for (const auto& [id, known] : m_members)
-        names.insert(known.info.failureDomain);
-    return { names.begin(), names.end() };
+    std::vector<std::string> names;
+    for (const auto& [name, members] : m_byDomain)
+        if (!members.empty())
+            names.push_back(name);
+    return names;
+}
+
+std::vector<const tracked_member*> member_table::membersOf(std::string_view domain) const
+{
+    const auto& members = in(domain);
+    return { members.begin(), members.end() };
 }
 
 std::uint64_t member_table::hashOf(std::string_view domain) const
 {
     std::uint64_t sum = 0;
-    for (const auto& [id, known] : m_members) {
-        if (known.info.failureDomain != domain || known.info.state == member_state::Dead)
+    for (const auto* known : in(domain)) {
+        if (known->info.state == member_state::Dead)
             continue;
         const std::uint64_t seed
-            = known.info.incarnation * 2 + (known.info.state == member_state::Leaving ? 1 : 0);
-        sum += base::hash64(id, seed);
+            = known->info.incarnation * 2 + (known->info.state == member_state::Leaving ? 1 : 0);
+        sum += base::hash64(known->info.id, seed);
     }
     return sum;
 }
 
+std::size_t member_table::countLive(std::string_view domain) const
+{
+    const auto& members = in(domain);
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+        [](const tracked_member* known) { return known->info.state < member_state::Leaving; }));
+}
+
 std::vector<const tracked_member*> member_table::liveIn(std::string_view domain) const
 {
-    std::vector<const tracked_member*> out;
-    for (const auto& [id, known] : m_members)
-        if (known.info.failureDomain == domain && known.info.state < member_state::Leaving)
-            out.push_back(&known);
+    auto out = membersOf(domain);
+    std::erase_if(
+        out, [](const tracked_member* known) { return known->info.state >= member_state::Leaving; });
     return out;
 }
 
--- a/src/libs/control/member_table.h
+++ b/src/libs/control/member_table.h
@@ -15,7 +15,9 @@
     base::time_point removedAt {}; ///< Meaningful while dead.
     base::time_point requestSucceededAt {}; ///< Last success of a request; zero for none.
     int requestFailures = 0; ///< Failed requests since the last success.
-    std::uint64_t change = 0; ///< Number of the last change that digests have to carry.
+    std::uint64_t change
+        = 0; ///< Number of the last change of state, ramp or weights, which all digests carry.
+    std::uint64_t loadChange = 0; ///< Number of the last change of load, which digests in the region carry.
 };
 
 /// How a record changed the table.
@@ -32,6 +34,10 @@
 /// members stay as tombstones, so that a paused process cannot come back under its old incarnation.
 class member_table {
 public:
+    member_table() = default;
+    member_table(const member_table&) = delete;
+    member_table& operator=(const member_table&) = delete;
+
     using map = std::map<std::string, tracked_member, std::less<>>;
 
     /// Merges \a record. \a direct: it comes from the member itself, so that its load is the newest.
@@ -43,7 +49,6 @@
     tracked_member* find(std::string_view id);
     const tracked_member* find(std::string_view id) const;
     const map& all() const { return m_members; }
-    map& all() { return m_members; }
 
     /// Drops the tombstones of members that were removed before \a before.
     void forgetRemoved(base::time_point before);
@@ -57,6 +62,12 @@
     /// Hash over the members of \a domain: ids, incarnations, and whether they left or were removed.
     std::uint64_t hashOf(std::string_view domain) const;
 
+    /// All members of \a domain, removed ones included.
+    std::vector<const tracked_member*> membersOf(std::string_view domain) const;
+
+    /// Number of the members that `liveIn` returns.
+    std::size_t countLive(std::string_view domain) const;
+
     /// Members of \a domain that take part in its work: neither removed nor leaving.
     std::vector<const tracked_member*> liveIn(std::string_view domain) const;
 
@@ -64,7 +75,10 @@
     std::vector<std::string> delegatesOf(std::string_view domain) const;
 
 private:
+    const std::vector<tracked_member*>& in(std::string_view domain) const;
+
     map m_members;
+    std::map<std::string, std::vector<tracked_member*>, std::less<>> m_byDomain; ///< Nodes of `m_members`.
     std::uint64_t m_change = 0;
 };
 
--- a/src/libs/control/membership.cpp
+++ b/src/libs/control/membership.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t headerBytes = 28; // IPv4 and UDP
-constexpr std::size_t summariesPerMessage = 3;
+constexpr std::size_t summariesPerMessage = 6;
 constexpr std::size_t forwardFanout = 3;
 constexpr std::size_t usualRecordBytes = 48;
 
@@ -125,13 +125,12 @@
 {
     message.sender = m_self;
     const bool piggybacks = message.type != message_type::SyncRequest
-        && message.type != message_type::SyncPage && message.type != message_type::Digest
-        && message.type != message_type::DigestAck;
+        && message.type != message_type::SyncPage && message.type != message_type::Digest;
     if (piggybacks) {
         // A member that is thought suspect or dead has to learn it, so that it can refute.
         if (const auto* known = m_table.find(to); known && known->info.state != member_state::Alive)
             message.updates.push_back(known->info);
-        const auto members = m_table.liveIn(m_self.failureDomain).size();
+        const auto members = m_table.countLive(m_self.failureDomain);
         for (const auto& id : m_queue.take(m_options.piggyback - message.updates.size(), members))
             if (const auto* known = m_table.find(id); known && id != m_self.id && id != to)
                 message.updates.push_back(known->info);
@@ -142,8 +141,6 @@
         message.updates.resize(message.updates.size()
             - std::min<std::size_t>(
                 message.updates.size(), (bytes.size() - maxDatagramBytes) / usualRecordBytes + 1));
-        if (message.type == message_type::Digest)
-            message.upTo = message.updates.empty() ? 0 : m_table.find(message.updates.back().id)->change;
         bytes = encode(message);
     }
     bytes += m_authenticator.sign(bytes);
@@ -196,9 +193,7 @@
     case message_type::SyncPage:
         return handleSyncPage(message);
     case message_type::Digest:
-        return send(message.sender.id, m_exchange.answer(message));
-    case message_type::DigestAck:
-        return m_exchange.handleAck(message);
+        return m_exchange.handleDigest(message);
     }
 }
 
@@ -230,11 +225,10 @@
 void membership::stateChanged(const std::string& id, bool spread)
 {
     const member info = m_table.find(id)->info;
-    if (info.state == member_state::Leaving && spread) {
-        if (info.failureDomain == m_self.failureDomain)
-            m_exchange.hurry();
+    if (spread && info.state >= member_state::Leaving && info.failureDomain == m_self.failureDomain)
+        m_exchange.hurry();
+    if (spread && info.state == member_state::Leaving)
         notice(forwardFanout);
-    }
     if (m_listener.changed)
         m_listener.changed(info);
 }
--- a/src/libs/control/membership_message.cpp
+++ b/src/libs/control/membership_message.cpp
@@ -125,17 +125,18 @@
 
 membership_message readMessage(const json& value)
 {
-    const auto& fields = list(value, 10, 10);
+    const auto& fields = list(value, 11, 11);
     need(number(fields[0]) == protocolVersion, value);
     const auto& places = list(fields[3], 1, maxPlaces);
     membership_message out {
         .type
-        = static_cast<message_type>(number(fields[1], static_cast<std::uint64_t>(message_type::DigestAck))),
+        = static_cast<message_type>(number(fields[1], static_cast<std::uint64_t>(message_type::Digest))),
         .sequence = small<std::uint32_t>(fields[2]),
         .sender = readRecord(fields[4], places),
         .subject = name(fields[5], true),
         .upTo = number(fields[6], std::numeric_limits<std::int64_t>::max()),
     };
+    out.confirmed = number(fields[10], std::numeric_limits<std::int64_t>::max());
     for (const auto& record : list(fields[7], 0, maxUpdates))
         out.updates.push_back(readRecord(record, places));
     for (const auto& summary : list(fields[8], 0, maxDomains))
@@ -165,7 +166,7 @@
         hashes.push_back(json::array({ item.name, item.hash }));
     const json value = json::array({ protocolVersion, static_cast<unsigned>(message.type), message.sequence,
         places.take(), std::move(sender), message.subject, message.upTo, std::move(updates),
-        std::move(domains), std::move(hashes) });
+        std::move(domains), std::move(hashes), message.confirmed });
     std::string out;
     json::to_msgpack(value, out);
     return out;
--- a/src/libs/control/membership_message.h
+++ b/src/libs/control/membership_message.h
@@ -15,7 +15,6 @@
     SyncRequest, ///< Carries table hashes; answered with pages of a domain that differs.
     SyncPage, ///< No records: all the hashes agree.
     Digest, ///< From a domain's delegate to another domain's.
-    DigestAck,
 };
 
 /// What a delegate says of a whole failure domain.
@@ -40,6 +39,7 @@
     member sender;
     std::string subject = {};
     std::uint64_t upTo = 0; ///< Digest: number of the last change it covers.
+    std::uint64_t confirmed = 0; ///< Digest: highest `upTo` received from the process it is sent to.
     std::vector<member> updates = {};
     std::vector<domain_summary> domains = {};
     std::vector<domain_hash> hashes = {};
--- a/src/libs/control/membership_probe.cpp
+++ b/src/libs/control/membership_probe.cpp
@@ -41,6 +41,7 @@
     }
     if (now >= m_nextRemovedProbe) {
         m_nextRemovedProbe = now + removedProbeInterval;
+        m_table.forgetRemoved(now - m_options.tombstones);
         probeRemoved();
     }
 }
@@ -80,10 +81,9 @@
             if (known && known->info.state != member_state::Dead)
                 return id;
         }
-        for (const auto& [id, known] : m_table.all())
-            if (id != m_self.id && known.info.failureDomain == m_self.failureDomain
-                && known.info.state != member_state::Dead)
-                m_probeOrder.push_back(id);
+        for (const auto* known : m_table.membersOf(m_self.failureDomain))
+            if (known->info.id != m_self.id && known->info.state != member_state::Dead)
+                m_probeOrder.push_back(known->info.id);
         for (std::size_t i = m_probeOrder.size(); i > 1; --i)
             std::swap(m_probeOrder[i - 1], m_probeOrder[m_random.below(i)]);
     }
@@ -94,9 +94,9 @@
 void membership::probeRemoved()
 {
     std::vector<const std::string*> removed;
-    for (const auto& [id, known] : m_table.all())
-        if (known.info.failureDomain == m_self.failureDomain && known.info.state == member_state::Dead)
-            removed.push_back(&id);
+    for (const auto* known : m_table.membersOf(m_self.failureDomain))
+        if (known->info.state == member_state::Dead)
+            removed.push_back(&known->info.id);
     if (!removed.empty())
         send(*removed[m_random.below(removed.size())],
             { .type = message_type::Ping, .sequence = ++m_sequence });
@@ -171,7 +171,7 @@
 
 base::duration membership::suspicionTimeout() const
 {
-    const auto members = m_table.liveIn(m_self.failureDomain).size();
+    const auto members = m_table.countLive(m_self.failureDomain);
     const double factor = std::max(1.0, std::log10(static_cast<double>(members)));
     return base::duration(
         static_cast<std::int64_t>(factor * static_cast<double>(m_options.suspicion.count())));
@@ -222,10 +222,10 @@
     if (now < m_nextSuspectScan)
         return;
     m_nextSuspectScan = now + suspectScanInterval;
-    m_exchange.updateOwnSummary(m_self.configVersion);
+    if (m_exchange.updateOwnSummary(m_self.configVersion))
+        m_exchange.hurry();
     for (const auto& name : m_exchange.checkReachability())
         m_log.write(events::domainUnreachable, { { "domain", name } });
-    m_table.forgetRemoved(now - m_options.tombstones);
     if (m_verification.active)
         return;
     for (const auto* known : m_table.liveIn(m_self.failureDomain)) {
--- a/src/libs/control/membership_sync.cpp
+++ b/src/libs/control/membership_sync.cpp
@@ -55,16 +55,15 @@
 {
     membership_message page { .type = message_type::SyncPage };
     std::size_t bytes = 0;
-    for (const auto& [id, known] : m_table.all()) {
-        if (known.info.failureDomain != domain)
-            continue;
+    for (const auto* known : m_table.membersOf(domain)) {
+        const std::string& id = known->info.id;
         bytes += recordBytes + id.size();
         if (bytes > pageBytes || page.updates.size() == maxUpdates) {
             send(to, page);
             page.updates.clear();
             bytes = recordBytes + id.size();
         }
-        page.updates.push_back(known.info);
+        page.updates.push_back(known->info);
     }
     if (!page.updates.empty())
         send(to, std::move(page));
--- a/src/libs/control/update_queue.cpp
+++ b/src/libs/control/update_queue.cpp
@@ -9,15 +9,24 @@
 
 /// Times that one process sends a record: this factor times log10 of the domain's size, rounded up.
 constexpr unsigned urgentFactor = 4;
+
+/// Added for changes of state: a member misses what each other sends k times with a probability of about
+/// e^-k, and 4 sends in domains of 8 left one of 160 processes without a removal until the next
+/// synchronisation.
+constexpr unsigned urgentExtra = 4;
 constexpr unsigned loadFactor = 2;
 
+/// Bounds the traffic of a delegate beside its digests (3 KB/s): loads fill every message of a large fleet.
+constexpr std::size_t loadsPerMessage = 3;
+
 /// Loads are worthless when they wait long, so that the oldest are dropped above this number.
 constexpr std::size_t maxItems = 256;
 
 unsigned sendsFor(bool urgent, std::size_t members)
 {
     const auto digits = static_cast<unsigned>(std::ceil(std::log10(static_cast<double>(members) + 1)));
-    return (urgent ? urgentFactor : loadFactor) * std::max(1U, digits);
+    const unsigned scale = std::max(1U, digits);
+    return urgent ? urgentFactor * scale + urgentExtra : loadFactor * scale;
 }
 
 } // namespace
@@ -51,7 +60,7 @@
     std::vector<std::string> out;
     std::size_t loads = 0;
     for (auto& entry : m_items) {
-        if (out.size() >= most || (!entry.urgent && loads >= most / 2))
+        if (out.size() >= most || (!entry.urgent && loads >= loadsPerMessage))
             break;
         loads += entry.urgent ? 0 : 1;
         ++entry.sent;
