--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -71,6 +71,7 @@
 
     void start(int domains, int size, int regions)
     {
+        processes.reserve(static_cast<std::size_t>(domains) * static_cast<std::size_t>(size));
         for (int d = 0; d < domains; ++d)
             for (int i = 0; i < size; ++i)
                 processes.push_back(
--- a/src/libs/control/config_log.cpp
+++ b/src/libs/control/config_log.cpp
@@ -80,10 +80,10 @@
 {
     auto state = std::make_shared<loaded_config>();
     state->state = std::move(from);
-    continueLoad(std::move(state), std::move(done));
+    continueLoad(state, std::move(done));
 }
 
-void config_log::continueLoad(std::shared_ptr<loaded_config> state, callback<loaded_config> done)
+void config_log::continueLoad(const std::shared_ptr<loaded_config>& state, callback<loaded_config> done)
 {
     const auto after = detail::patchKey(state->state.version);
     m_store.range(
@@ -134,10 +134,10 @@
     if (pending->patch.body.size() + pending->patch.inverse.size() > maxDocumentBytes / 2)
         return refuse(
             pending, base::notRun(error_reason::TooLarge, "the change is over 495,000 bytes").value());
-    create(std::move(pending));
+    create(pending);
 }
 
-void config_log::create(std::shared_ptr<proposal> pending)
+void config_log::create(const std::shared_ptr<proposal>& pending)
 {
     ++pending->attempts;
     platform::kv_write write { .key = detail::patchKey(pending->patch.version),
@@ -158,7 +158,7 @@
     });
 }
 
-void config_log::readBack(std::shared_ptr<proposal> pending)
+void config_log::readBack(const std::shared_ptr<proposal>& pending)
 {
     pending->mayBeWritten = true;
     m_store.get(detail::patchKey(pending->patch.version), [this, pending](auto answer) {
@@ -171,7 +171,7 @@
     });
 }
 
-void config_log::retry(std::shared_ptr<proposal> pending, bool write)
+void config_log::retry(const std::shared_ptr<proposal>& pending, bool write)
 {
     if (pending->attempts++ >= m_options.attempts) {
         m_log.write(events::proposalUnknown, { { "change", pending->patch.changeId } });
@@ -193,17 +193,17 @@
     });
 }
 
-void config_log::judge(std::shared_ptr<proposal> pending, const platform::kv_entry& found)
+void config_log::judge(const std::shared_ptr<proposal>& pending, const platform::kv_entry& found)
 {
     const auto stored = config_patch::decode(found.value);
     if (!stored)
         return refuse(pending, stored.error());
     if (stored->changeId == pending->patch.changeId)
-        return accept(std::move(pending));
+        return accept(pending);
     refuse(pending, lostRace(pending->patch.version - 1, *stored));
 }
 
-void config_log::accept(std::shared_ptr<proposal> pending)
+void config_log::accept(const std::shared_ptr<proposal>& pending)
 {
     const auto& patch = pending->patch;
     m_log.write(events::changeAccepted,
--- a/src/libs/control/config_log.h
+++ b/src/libs/control/config_log.h
@@ -85,14 +85,14 @@
 private:
     struct proposal;
 
-    void create(std::shared_ptr<proposal> pending);
-    void readBack(std::shared_ptr<proposal> pending);
-    void retry(std::shared_ptr<proposal> pending, bool write);
-    void judge(std::shared_ptr<proposal> pending, const platform::kv_entry& found);
-    void accept(std::shared_ptr<proposal> pending);
+    void create(const std::shared_ptr<proposal>& pending);
+    void readBack(const std::shared_ptr<proposal>& pending);
+    void retry(const std::shared_ptr<proposal>& pending, bool write);
+    void judge(const std::shared_ptr<proposal>& pending, const platform::kv_entry& found);
+    void accept(const std::shared_ptr<proposal>& pending);
     void refuse(const std::shared_ptr<proposal>& pending, base::error problem) const;
     void writeSnapshot(const config_state& state);
-    void continueLoad(std::shared_ptr<loaded_config> state, callback<loaded_config> done);
+    void continueLoad(const std::shared_ptr<loaded_config>& state, callback<loaded_config> done);
 
     platform::kv_store& m_store;
     base::scheduler& m_timers;
--- a/src/libs/control/load_permit.cpp
+++ b/src/libs/control/load_permit.cpp
@@ -136,7 +136,8 @@
     std::map<std::uint64_t, const kv_entry*> present;
     std::uint64_t held = 0;
     for (const auto& entry : slots)
-        if (const auto slot = slotNumber(entry.key)) {
+        // Another store's name may start with this one's and a slash.
+        if (const auto slot = slotNumber(entry.key); slot && entry.key == keyOf(*slot)) {
             present[*slot] = &entry;
             held += decodeSlot(entry.value).held ? 1 : 0;
         }
--- a/src/libs/control/member_table.cpp
+++ b/src/libs/control/member_table.cpp
@@ -156,6 +156,7 @@
     std::sort(scored.begin(), scored.end());
     scored.resize(std::min(scored.size(), delegatesPerDomain));
     std::vector<std::string> out;
+    out.reserve(scored.size());
     for (const auto& [score, id] : scored)
         out.emplace_back(id);
     return out;
--- a/src/libs/control/membership_probe.cpp
+++ b/src/libs/control/membership_probe.cpp
@@ -68,14 +68,14 @@
 std::string membership::nextTarget()
 {
     while (!m_probeFirst.empty()) {
-        const std::string id = m_probeFirst.back();
+        std::string id = m_probeFirst.back();
         m_probeFirst.pop_back();
         if (const auto* known = m_table.find(id); known && known->info.state != member_state::Dead)
             return id;
     }
     for (int round = 0; round < 2; ++round) {
         while (!m_probeOrder.empty()) {
-            const std::string id = m_probeOrder.back();
+            std::string id = m_probeOrder.back();
             m_probeOrder.pop_back();
             const auto* known = m_table.find(id);
             if (known && known->info.state != member_state::Dead)
--- a/src/libs/control/order_sender.cpp
+++ b/src/libs/control/order_sender.cpp
@@ -104,7 +104,8 @@
 /// Orders that load nothing need no slot: a write to a key of the target gives the fencing token.
 void order_sender::takeTokenAndSend(engine_order order, std::uint64_t highestSeen)
 {
-    m_store.put({ .key = "orders/" + m_options.target, .value = kindName(order.kind) },
+    platform::kv_write write { .key = "orders/" + m_options.target, .value = kindName(order.kind) };
+    m_store.put(std::move(write),
         [this, order = std::move(order), highestSeen](const base::result<std::uint64_t>& answer) mutable {
             if (!answer || *answer < highestSeen)
                 return failed();
--- a/src/libs/control/validation.cpp
+++ b/src/libs/control/validation.cpp
@@ -27,6 +27,12 @@
         [](const auto& entry) { return entry.second.inService; });
 }
 
+bool hasAdministrator(const config_content& content)
+{
+    return std::any_of(content.operators.begin(), content.operators.end(),
+        [](const auto& entry) { return entry.second.mayChange; });
+}
+
 base::result<void> unknown(std::string_view what, const std::string& name, std::string field)
 {
     return base::notRun(
@@ -155,6 +161,9 @@
         return base::notRun(error_reason::InvalidRequest,
             "the change takes the last failure domain out of service", std::move(field));
     }
+    if (hasAdministrator(before) && !hasAdministrator(after))
+        return base::notRun(error_reason::InvalidRequest,
+            "no operator is left who may change the configuration", "/operators");
     if (auto checked = checkRemoved<model>(before.models, after.models, after, "models",
             [](const target& value) -> const std::string& { return value.model; });
         !checked)
--- a/src/libs/control/validation.h
+++ b/src/libs/control/validation.h
@@ -9,7 +9,8 @@
 base::result<void> checkReferences(const config_content& content);
 
 /// Checks the step from \a before to \a after for what would break the fleet: the last failure domain taken
-/// out of service, a model or service removed that targets still serve, and a capacity below the floor.
+/// out of service, the last operator who may change anything removed, a model or service removed that targets
+/// still serve, and a capacity below the floor.
 base::result<void> checkTransition(const config_content& before, const config_content& after);
 
 } // namespace marigold::control
--- a/tests/libs/control/config_log_test.cpp
+++ b/tests/libs/control/config_log_test.cpp
@@ -86,6 +86,7 @@
     CHECK(rc::check("race", [] {
         world fleet;
         std::vector<std::unique_ptr<config_log>> logs;
+        logs.reserve(4);
         for (int i = 0; i < 4; ++i)
             logs.push_back(std::make_unique<config_log>(
                 fleet.store, fleet.timers, fleet.time, fleet.events, config_log::options {}));
--- a/tests/libs/control/config_test.cpp
+++ b/tests/libs/control/config_test.cpp
@@ -64,11 +64,11 @@
         { R"({"capacity_floor":1.5})", "/capacity_floor" },
         { R"({"capacity":1})", "/capacity" },
     };
-    for (const auto& [body, field] : faults) {
-        CAPTURE(body);
-        const auto parsed = config_document::parse(body);
+    for (const auto& entry : faults) {
+        CAPTURE(entry.body);
+        const auto parsed = config_document::parse(entry.body);
         REQUIRE(!parsed);
-        CHECK(parsed.error().field == field);
+        CHECK(parsed.error().field == entry.field);
     }
     for (const char* text : { "", "[]", "null", "{", R"({"teams":{},"teams":{}})", "{\"a\":\"\xff\"}" })
         CHECK(!config_document::parse(text));
@@ -109,6 +109,7 @@
         { R"({"weight_stores":{"w":{"concurrent_loads":0}}})", "/weight_stores/w/concurrent_loads" },
         { R"({"models":{"m":null}})", "/models/m" },
         { R"({"models":null})", "/models/m" },
+        { R"({"operators":{"op":{"rights":["read"]}}})", "/operators" },
         { R"({"services":{"orders":null}})", "/services/orders" },
         { R"({"failure_domains":{"hall-alta":null}})", "/targets/t1/failure_domain" },
         { R"({"targets":{"t1":{"model":"other"}}})", "/targets/t1/model" },
@@ -119,12 +120,12 @@
         { R"({"drained_targets":{"t0":true,"t1":true},"models":{"m":{"wanted_version":"v2"}}})",
             "/models/m/wanted_version" },
     };
-    for (const auto& [body, field] : merges) {
-        CAPTURE(body);
-        const auto effect = tryMerge(body);
+    for (const auto& entry : merges) {
+        CAPTURE(entry.body);
+        const auto effect = tryMerge(entry.body);
         REQUIRE(!effect);
         CHECK(effect.error().verdict == base::verdict::NotRun);
-        CHECK(effect.error().field == field);
+        CHECK(effect.error().field == entry.field);
     }
     CHECK(tryMerge(R"({"failure_domains":{"hall-bodo":{"in_service":false}}})"));
     CHECK(tryMerge(R"({"drained_targets":{"t0":true,"t1":true}})"));
@@ -145,11 +146,11 @@
         { R"([{"op":"add","path":"teams","value":{}}])", "teams" },
         { R"([7])", "/0" },
     };
-    for (const auto& [body, field] : faults) {
-        CAPTURE(body);
-        const auto effect = tryPatch(body);
+    for (const auto& entry : faults) {
+        CAPTURE(entry.body);
+        const auto effect = tryPatch(entry.body);
         REQUIRE(!effect);
-        CHECK(effect.error().field == field);
+        CHECK(effect.error().field == entry.field);
     }
     CHECK(!tryPatch("{}"));
     CHECK(!tryMerge("[]"));
--- a/tests/libs/control/order_test.cpp
+++ b/tests/libs/control/order_test.cpp
@@ -60,40 +60,38 @@
     std::vector<std::function<void()>> m_held;
 };
 
-/// Passes calls on to the shared service; answers reach the process when it is not paused.
-class process_store final : public platform::kv_store {
-public:
-    process_store(fake_kv_store& store, pausable_scheduler& process)
-        : m_store(store)
-        , m_process(process)
-    {
-    }
+/// Makes an answer from outside wait while the process is paused, and drops it when the process is gone.
+template <typename T>
+std::function<void(base::result<T>)> late(
+    pausable_scheduler& process, std::function<void(base::result<T>)> done)
+{
+    return [&process, done = std::move(done)](
+               base::result<T> value) { process.run([done, value = std::move(value)] { done(value); }); };
+}
 
-    template <typename T> callback<T> late(callback<T> done)
+/// One process's access to the shared service.
+struct process_store final : platform::kv_store {
+    process_store(fake_kv_store& shared, pausable_scheduler& owner)
+        : store(shared)
+        , process(owner)
     {
-        return [this, done = std::move(done)](base::result<T> value) {
-            m_process.run([done, value = std::move(value)] { done(value); });
-        };
     }
 
     using entry = platform::kv_entry;
     void get(std::string_view key, callback<std::optional<entry>> done) override
     {
-        m_store.get(key, late(std::move(done)));
+        store.get(key, late(process, std::move(done)));
     }
     void put(platform::kv_write write, callback<std::uint64_t> done) override
     {
-        m_store.put(std::move(write), late(std::move(done)));
-    }
-    void remove(std::string_view key, std::uint64_t revision, callback<void> done) override
-    {
-        m_store.remove(key, revision, late(std::move(done)));
+        store.put(std::move(write), late(process, std::move(done)));
     }
     void range(std::string_view prefix, std::string_view after, std::size_t limit,
         callback<std::vector<entry>> done) override
     {
-        m_store.range(prefix, after, limit, late(std::move(done)));
+        store.range(prefix, after, limit, late(process, std::move(done)));
     }
+    void remove(std::string_view, std::uint64_t, callback<void>) override { }
     void grantLease(base::duration, callback<std::uint64_t>) override { }
     void keepAlive(std::uint64_t, callback<void>) override { }
     void revokeLease(std::uint64_t, callback<void>) override { }
@@ -101,44 +99,30 @@
     {
     }
 
-private:
-    fake_kv_store& m_store;
-    pausable_scheduler& m_process;
+    fake_kv_store& store;
+    pausable_scheduler& process;
 };
 
-/// Passes orders on to the engine; a paused process handles the answers late, and one that ended never.
-class process_engine final : public platform::model_engine {
-public:
-    process_engine(fake_engine& engine, pausable_scheduler& process)
-        : m_engine(engine)
-        , m_process(process)
+/// One process's access to its engine.
+struct process_engine final : platform::model_engine {
+    process_engine(fake_engine& beside, pausable_scheduler& owner)
+        : engine(beside)
+        , process(owner)
     {
     }
 
     void state(callback<platform::engine_state> done) override
     {
-        m_engine.state([this, done = std::move(done)](base::result<platform::engine_state> value) {
-            m_process.run([done, value = std::move(value)] { done(value); });
-        });
+        engine.state(late(process, std::move(done)));
     }
-
     void order(platform::engine_order order, callback<void> done) override
     {
-        m_engine.order(std::move(order), [this, done = std::move(done)](base::result<void> value) {
-            m_process.run([done, value = std::move(value)] { done(value); });
-        });
-    }
-
-    void cancelLoading(callback<void> done) override
-    {
-        m_engine.cancelLoading([this, done = std::move(done)](base::result<void> value) {
-            m_process.run([done, value = std::move(value)] { done(value); });
-        });
+        engine.order(std::move(order), late(process, std::move(done)));
     }
+    void cancelLoading(callback<void> done) override { engine.cancelLoading(late(process, std::move(done))); }
 
-private:
-    fake_engine& m_engine;
-    pausable_scheduler& m_process;
+    fake_engine& engine;
+    pausable_scheduler& process;
 };
 
 struct world;
@@ -322,6 +306,56 @@
     CHECK(!process.permit.isHeld());
 }
 
+TEST_CASE("a load is cancelled when its answer is handled after a pause that outlasted the lease")
+{
+    // Guards against a slot that is given back although the next holder may have it.
+    world shared;
+    auto& process = shared.start("t0");
+    process.engine.loadTime = milliseconds(100); // The answer comes before the first look at the lease.
+    process.sender.want({ .version = "v2" }, 1);
+    for (int i = 0; i < 100 && process.engine.loads == 0; ++i)
+        shared.timers.advance(base::duration(500));
+    process.timers.paused = true;
+    shared.run(seconds(30));
+    process.timers.resume();
+    CHECK(process.engine.cancelled == 1);
+    CHECK(!process.permit.isHeld());
+}
+
+TEST_CASE("a lapsed slot is taken over after one lease time and a check, and not before")
+{
+    // Guards against a new holder beside one whose lease still runs.
+    world shared;
+    base::random_source random(3);
+    const base::event_log events({ .output = [](std::string_view) {} });
+    const load_permit::options opts { .store = "w", .target = "new" };
+    auto answer = predecessor_state::Unknown;
+    int asked = 0;
+    load_permit permit(
+        shared.store, shared.timers, shared.time, random, events,
+        [&](const std::string& target, const auto& done) {
+            CHECK(target == "old");
+            ++asked;
+            done(answer);
+        },
+        opts);
+    shared.store.put({ .key = "loads/w/0000", .value = R"({"held":true,"nonce":"n","target":"old"})" },
+        [](const auto&) {});
+    shared.run(milliseconds(10));
+    std::uint64_t token = 0;
+    permit.acquire(1, [&](std::uint64_t value) { token = value; });
+    shared.run(opts.timing.timeToLive - milliseconds(100));
+    CHECK(asked == 0);
+    shared.run(seconds(2));
+    CHECK(asked == 1);
+    CHECK(token == 0);
+    answer = predecessor_state::Idle;
+    shared.run(opts.timing.timeToLive + seconds(1));
+    CHECK(asked == 2);
+    CHECK(token > 1);
+    CHECK(permit.remaining() <= opts.timing.timeToLive - opts.timing.margin);
+}
+
 TEST_CASE("an order is not sent when the lease ends during a pause before it")
 {
     // Guards against a sender that takes a permit, is paused, and orders a load without it.
