Count the volume of a team in tokens, and close gaps in the tests

One showed a fault: metrics passed a volume of 1 for every record, so that the team with the most prompt tokens could be counted as "other". promptTokens now adds its tokens.

The tests now also cover the kind of a key when names and secrets agree, a rotation of a key that already ends, the series of a team that loses its label, a secret outside its range and the time limit of a whole call.

--- a/src/libs/operate/metrics.cpp
+++ b/src/libs/operate/metrics.cpp
@@ -117,7 +117,7 @@
 
 metrics::~metrics() = default;
 
-std::string metrics::teamLabel(std::string_view team)
+std::string metrics::teamLabel(std::string_view team, std::uint64_t volume)
 {
     for (const auto& lost : m_labels.refresh()) {
         const prometheus::Labels labels { { "team", lost } };
@@ -126,7 +126,7 @@
             { &m_families->promptTokens, &m_families->recomputedTokens, &m_families->sheds })
             family->Remove(&family->Add(labels));
     }
-    return std::string(m_labels.label(team));
+    return std::string(m_labels.label(team, volume));
 }
 
 void metrics::timeToFirstToken(std::string_view team, base::duration elapsed)
@@ -141,7 +141,7 @@
 
 void metrics::promptTokens(std::string_view team, std::uint64_t total, std::uint64_t recomputed)
 {
-    const prometheus::Labels labels { { "team", teamLabel(team) } };
+    const prometheus::Labels labels { { "team", teamLabel(team, total) } };
     m_families->promptTokens.Add(labels).Increment(static_cast<double>(total));
     m_families->recomputedTokens.Add(labels).Increment(static_cast<double>(recomputed));
 }
--- a/src/libs/operate/metrics.h
+++ b/src/libs/operate/metrics.h
@@ -58,7 +58,9 @@
 };
 
 /// The metrics of one process, of fixed names. Label values are enumerators, except for teams, which
-/// `team_labels` bounds.
+/// `team_labels` bounds; the volume of a team is its prompt tokens plus one for each other count.
+///
+/// The series of a team that loses its label end, so that sums over teams are taken of rates.
 class metrics {
 public:
     explicit metrics(const base::clock& time, team_labels::options teams = {});
@@ -104,7 +106,7 @@
 private:
     struct families;
 
-    std::string teamLabel(std::string_view team);
+    std::string teamLabel(std::string_view team, std::uint64_t volume = 1);
 
     team_labels m_labels;
     std::unique_ptr<families> m_families;
--- a/tests/ctl/ctl_test.py
+++ b/tests/ctl/ctl_test.py
@@ -2,7 +2,7 @@
 
 The fake entry answers from a table of (method, path) to a list of answers, one for each call; the last one
 repeats. An answer is (status, JSON document or text), LOST, which closes the connection without an answer, or SLOW,
-which sends a byte every 50 ms for as long as the caller stays.
+which sends a byte every 50 ms for 10 s and then the document of version 99.
 """
 import http.server
 import json
@@ -19,6 +19,7 @@
 PROGRAM = sys.argv.pop(1)
 LOST = "lost"
 SLOW = "slow"
+LATE = b'{"outcome": "accepted", "version": 99}'
 KEY = "mbop_ada_" + "0" * 64
 CONFIG = (200, {"version": 41, "document": {"teams": {}}})
 
@@ -41,7 +42,7 @@
             return
         if answer == SLOW:
             self.send_response(200)
-            self.send_header("Content-Length", "100000")
+            self.send_header("Content-Length", str(200 + len(LATE)))
             self.end_headers()
             self.drip()
             return
@@ -57,6 +58,7 @@
             for _ in range(200):
                 self.wfile.write(b" ")
                 time.sleep(0.05)
+            self.wfile.write(LATE)
         except OSError:
             pass
         self.close_connection = True
--- a/tests/libs/operate/access_control_test.cpp
+++ b/tests/libs/operate/access_control_test.cpp
@@ -54,6 +54,10 @@
         RC_ASSERT(!access.team(bearer("mb_" + second + secret)));
         RC_ASSERT(!access.requireOperator(bearer(firstKey->key), operator_right::Read));
         RC_ASSERT(!access.requireOperator(bearer("mbop_" + first + secret), operator_right::Read));
+        // The kind counts even if an operator had the same name and secret.
+        access.setOperator(first, operator_right::Dangerous, { firstKey->record });
+        RC_ASSERT(!access.requireOperator(bearer(firstKey->key), operator_right::Read));
+        RC_ASSERT(access.requireOperator(bearer("mbop_" + first + secret), operator_right::Read).has_value());
         access.removeTeam(first);
         RC_ASSERT(!access.team(bearer(firstKey->key)));
     }));
@@ -104,7 +108,11 @@
         RC_ASSERT(!access.team(keys[1]));
         RC_ASSERT(access.team(keys[2]).has_value());
         // A further rotation must not extend the life of a key that already ends.
-        RC_ASSERT(rotateKey(records, records[0], time.wallNow(), overlap).size() == 2U);
+        key_record ending = records[0];
+        ending.expires = time.wallNow() + overlap;
+        const auto later = rotateKey({ ending }, records[0], time.wallNow(), 2 * overlap);
+        RC_ASSERT(later.size() == 2U);
+        RC_ASSERT(later[1].expires == ending.expires);
     }));
 }
 
--- a/tests/libs/operate/metrics_test.cpp
+++ b/tests/libs/operate/metrics_test.cpp
@@ -78,12 +78,12 @@
     CHECK(rc::check("bounded label", [] {
         base::manual_clock time;
         metrics measured(time);
-        const int rounds = *rc::gen::inRange(1, 4);
+        const int rounds = *rc::gen::inRange(2, 5);
         for (int round = 0; round < rounds; ++round) {
             const int shift = *rc::gen::inRange(0, 2800);
             for (int i = 0; i < 2800; ++i) {
                 const std::string team = "team-" + std::to_string((i + shift) % 2800);
-                measured.promptTokens(team, static_cast<std::uint64_t>(2800 - i), 1);
+                measured.promptTokens(team, static_cast<std::uint64_t>(1'000'000 / (i + 1)), 1);
                 measured.shed(team);
             }
             time.advance(std::chrono::minutes(11));
@@ -121,6 +121,20 @@
     }));
 }
 
+TEST_CASE("a team with many tokens in few requests gets a name")
+{
+    // Guards against a volume that counts requests alone, so that the largest user of tokens is "other".
+    base::manual_clock time;
+    metrics measured(time, { .named = 2 });
+    for (const std::string team : { "a", "b", "large" })
+        for (int i = 0; i < (team == "large" ? 1 : 10); ++i)
+            measured.promptTokens(team, team == "large" ? 100'000 : 100, 0);
+    CHECK(!teamsIn(measured.exposition()).contains("large"));
+    time.advance(std::chrono::minutes(11));
+    measured.promptTokens("large", 5, 0);
+    CHECK(hasLine(measured.exposition(), R"(marigold_prompt_tokens_total{team="large"} 5)"));
+}
+
 TEST_CASE("the table of teams is bounded, and idle teams make room")
 {
     // Guards against memory that grows with names that callers choose.
--- a/tests/libs/settings/settings_reader_test.cpp
+++ b/tests/libs/settings/settings_reader_test.cpp
@@ -34,6 +34,7 @@
     base::duration interval = std::chrono::milliseconds(250);
     std::vector<std::string> peers = { "127.0.0.1:1" };
     colour shade = colour::Red;
+    std::string token = {};
 
     void registerSettings(settings_reader& reader)
     {
@@ -48,6 +49,7 @@
             "sample.peers", &peers, { .description = "d", .maximum = 2, .format = setting_format::Endpoint });
         reader.addChoice("sample.shade", shade, { { "red", colour::Red }, { "green", colour::Green } },
             { .description = "d" });
+        reader.add("sample.token", &token, { .description = "d", .maximum = 4, .secret = true });
         reader.addCheck([this]() -> std::string {
             return limit > interval * 1000 ? "sample.limit_ms: too long for sample.interval_ms" : "";
         });
@@ -98,6 +100,8 @@
         { "[sample]\npeers = [\"host:1\"]\n", {}, {}, "\"host:1\" is not of the form IP:PORT" },
         { "[sample]\nshade = \"blue\"\n", {}, {}, "\"blue\" is none of red, green" },
         { "[sample]\ncount = 1979-05-27\n", {}, {}, "expected integer, found date" },
+        { "[sample]\ntoken = \"hidden\"\n", {}, {},
+            "sample.token: the value is outside the range to 4 bytes" },
         { "[sample]\ncount = \n", {}, {}, "a.toml:2:" },
         { "", { "MARIGOLD_SAMPLE_CUONT=3" }, {},
             "environment MARIGOLD_SAMPLE_CUONT: unknown setting; did you mean MARIGOLD_SAMPLE_COUNT?" },
