--- a/tests/libs/operate/metrics_test.cpp
+++ b/tests/libs/operate/metrics_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <filesystem>
+#include <fstream>
 #include <set>
 #include <sstream>
 #include <string>
@@ -50,6 +52,14 @@
     measured.controlBytes(control_channel::Membership, byte_direction::Sent, 300);
     measured.kvCall(kv_operation::Put, base::error_reason::Conflict);
     const std::string text = measured.exposition();
+    std::ostringstream page;
+    page << std::ifstream(std::filesystem::path(MARIGOLD_SOURCE_ROOT) / "docs" / "api.md").rdbuf();
+    constexpr std::string_view typeLine = "# TYPE ";
+    for (std::size_t at = text.find(typeLine); at != std::string::npos; at = text.find(typeLine, at + 1)) {
+        const std::size_t begin = at + typeLine.size();
+        const std::string name = text.substr(begin, text.find(' ', begin) - begin);
+        CHECK_MESSAGE(page.str().find("`" + name + "`") != std::string::npos, name, " is not in docs/api.md");
+    }
     for (const std::string line : {
              R"(marigold_time_to_first_token_seconds_bucket{team="bergvik",le="0.25"} 0)",
              R"(marigold_time_to_first_token_seconds_bucket{team="bergvik",le="0.35"} 1)",
