Charge refusals and raise the margin before the agent refuses

The fake target told admission that prompts without a prefix needed almost no prefill, since it counted the memory of other prompts without a prefix, so agents reported no backlog; both now use one function. The measurement also left out the round trip of a refusal, which it now charges.

--- a/bench/support/fake_fleet.h
+++ b/bench/support/fake_fleet.h
@@ -83,11 +83,12 @@
     void arrive(const fake_request& prompt)
     {
         entry_state& entry = *m_entries[m_random.below(m_entries.size())];
-        std::vector<routing::target_index> tried;
+        base::duration refused { 0 }; // spent on refusals by agents
         for (const routing::candidate& item : choose(entry, prompt)) {
-            if (attempt(entry, prompt, item))
+            if (attempt(entry, prompt, item, refused))
                 return;
             ++refusals;
+            refused += refusalTime;
         }
         m_options.refused();
     }
@@ -98,6 +99,8 @@
     std::size_t refusals = 0;
 
 private:
+    static constexpr base::duration refusalTime { 2'000 }; // round trip between failure domains
+
     struct entry_state {
         entry_state(const routing::target_table::options& place, std::uint64_t seed)
             : table(place)
@@ -168,13 +171,14 @@
         return { decision.candidates().begin(), decision.candidates().end() };
     }
 
-    bool attempt(entry_state& entry, const fake_request& prompt, const routing::candidate& item)
+    bool attempt(entry_state& entry, const fake_request& prompt, const routing::candidate& item,
+        base::duration refused)
     {
         fake_request request = prompt;
         request.id = ++m_lastId;
         if (m_options.plan == fleet_plan::Ours)
             request.waitLimit = item.waitLimit;
-        m_open[request.id] = { .entry = &entry, .ticket = {}, .arrivedAt = time.now() };
+        m_open[request.id] = { .entry = &entry, .ticket = {}, .arrivedAt = time.now() - refused };
         if (!targets[item.target]->submit(request)) {
             m_open.erase(request.id);
             entry.table.report(item.target, targets[item.target]->report(), time.now());
--- a/bench/support/fake_target.h
+++ b/bench/support/fake_target.h
@@ -71,8 +71,7 @@
             .priority = request.priority,
             .deadline = request.deadline,
             .waitLimit = request.waitLimit,
-            .prefillTokens
-            = request.promptTokens - std::max(request.loadedTokens, cached(request.prefixKey)) });
+            .prefillTokens = request.promptTokens - reusable(request) });
         if (!outcome)
             m_requests.erase(request.id);
         else if (*outcome == routing::admission_outcome::Started)
@@ -136,6 +135,11 @@
         std::list<std::uint64_t>::iterator place;
     };
 
+    int reusable(const fake_request& request) const
+    {
+        return std::min(request.prefixTokens, std::max(request.loadedTokens, cached(request.prefixKey)));
+    }
+
     double slowness() const
     {
         if (m_options.warmRuns == 0)
@@ -168,8 +172,7 @@
     void prefill(routing::work_id id, base::time_point startedAt)
     {
         const fake_request& request = m_requests.at(id);
-        const int reused
-            = std::min(request.prefixTokens, std::max(request.loadedTokens, cached(request.prefixKey)));
+        const int reused = reusable(request);
         const int tokens = request.promptTokens - reused;
         const base::time_point now = m_clock.now();
         const base::time_point from = std::max(now, m_prefillFreeAt);
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -227,7 +227,7 @@
 
 void router::limitWaits(std::span<candidate> items) const
 {
-    const double refusal = std::chrono::duration<double>(m_options.refusalTime).count();
+    const double refusal = std::chrono::duration<double>(m_options.refusalMargin).count();
     for (std::size_t i = 0; i + 1 < items.size(); ++i) {
         const double spare = std::max(items[i + 1].cost.score - items[i].cost.score, 0.0);
         items[i].waitLimit
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -109,8 +109,9 @@
         /// Share of the prefix that its first home is presumed to hold, while the prefix was idle for less
         /// than the home keeps context; most hints are at the entry that served the last turn.
         double homeHitShare = 0.8;
-        /// Cost of a refusal: one round trip to the agent.
-        base::duration refusalTime { 2'000 };
+        /// Wait beyond the next candidate's that is accepted, since a refusal costs a message and a round
+        /// trip.
+        base::duration refusalMargin { 100'000 };
     };
 
     /// \a probes may be null; then ejected targets are never probed.
