--- a/src/libs/routing/fair_queue.cpp
+++ b/src/libs/routing/fair_queue.cpp
@@ -40,15 +40,19 @@
     m_teams[indexOf(team)].weight = std::max(weight, smallestWeight);
 }
 
-double fair_queue::lengthOf(const team_record& team) const
+double fair_queue::earliestStart(const team_record& team) const
 {
-    return static_cast<double>(team.waiting.size()) / team.weight;
+    // A team that paused keeps a bounded part of the share that it did not use.
+    return std::max(m_virtualTime - m_options.burst / team.weight, team.finish);
 }
 
-fair_queue::team_index fair_queue::longestForItsWeight() const
+fair_queue::team_index fair_queue::lastServed() const
 {
+    const auto endOf = [&](const auto& entry) {
+        return entry.first + m_teams[entry.second].waitingCost / m_teams[entry.second].weight;
+    };
     return std::ranges::max_element(m_active, [&](const auto& a, const auto& b) {
-        return lengthOf(m_teams[a.second]) < lengthOf(m_teams[b.second]);
+        return endOf(a) < endOf(b);
     })->second;
 }
 
@@ -57,27 +61,31 @@
     const team_index index = indexOf(team);
     if (m_teams[index].waiting.size() >= m_options.teamCapacity)
         return tl::unexpected(refusal(base::error_reason::Overloaded, "too many requests of this team wait"));
-    if (m_size >= m_options.capacity) {
-        const team_index longest = m_active.empty() ? index : longestForItsWeight();
-        const double newLength
-            = static_cast<double>(m_teams[index].waiting.size() + 1) / m_teams[index].weight;
-        if (newLength >= lengthOf(m_teams[longest]))
-            return tl::unexpected(refusal(base::error_reason::Overloaded, "the queue of this entry is full"));
-        dropNewest(longest);
-    }
-    m_teams[index].waiting.push_back(item);
+    if (m_size >= m_options.capacity && !makeRoom(index, item.cost))
+        return tl::unexpected(refusal(base::error_reason::Overloaded, "the queue of this entry is full"));
+    team_record& record = m_teams[index];
+    record.waiting.push_back(item);
+    record.waitingCost += item.cost;
     ++m_size;
-    if (m_teams[index].waiting.size() == 1)
-        activate(index);
+    if (record.waiting.size() == 1) {
+        record.start = earliestStart(record);
+        m_active.emplace(record.start, index);
+    }
     return {};
 }
 
-void fair_queue::activate(team_index index)
+bool fair_queue::makeRoom(team_index index, double cost)
 {
-    team_record& team = m_teams[index];
-    // A team that paused keeps a bounded part of the share that it did not use.
-    team.start = std::max(m_virtualTime - m_options.burst / team.weight, team.finish);
-    m_active.emplace(team.start, index);
+    if (m_active.empty())
+        return false;
+    const team_record& team = m_teams[index];
+    const double start = team.waiting.empty() ? earliestStart(team) : team.start;
+    const team_index last = lastServed();
+    const team_record& other = m_teams[last];
+    if (start + (team.waitingCost + cost) / team.weight >= other.start + other.waitingCost / other.weight)
+        return false;
+    dropNewest(last);
+    return true;
 }
 
 void fair_queue::dropNewest(team_index index)
@@ -85,13 +93,14 @@
     team_record& team = m_teams[index];
     const queued_request dropped = team.waiting.back();
     team.waiting.pop_back();
+    team.waitingCost -= dropped.cost;
     --m_size;
     if (team.waiting.empty())
         m_active.erase({ team.start, index });
     if (m_options.refuse)
         m_options.refuse(dropped.id,
-            refusal(base::error_reason::Overloaded,
-                "the queue is full and this team has the most requests in it"));
+            refusal(
+                base::error_reason::Overloaded, "the queue is full and this request would be served last"));
 }
 
 std::optional<queued_request> fair_queue::pop(base::time_point now)
@@ -101,6 +110,7 @@
         team_record& team = m_teams[index];
         const queued_request item = team.waiting.front();
         team.waiting.pop_front();
+        team.waitingCost -= item.cost;
         --m_size;
         m_active.erase(m_active.begin());
         const bool expired = item.deadline <= now;
@@ -127,8 +137,12 @@
     if (found == m_byName.end())
         return false;
     team_record& record = m_teams[found->second];
-    const std::size_t removed
-        = std::erase_if(record.waiting, [&](const queued_request& item) { return item.id == id; });
+    const std::size_t removed = std::erase_if(record.waiting, [&](const queued_request& item) {
+        if (item.id != id)
+            return false;
+        record.waitingCost -= item.cost;
+        return true;
+    });
     m_size -= removed;
     if (removed > 0 && record.waiting.empty())
         m_active.erase({ record.start, found->second });
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,15 +27,15 @@
 
 /// Weighted fair queue over teams, by start-time fair queueing (Goyal, Vin and Cheng 1996).
 ///
-/// It is work-conserving: whenever something waits, `pop` returns a request. A team that sent less than its
-/// share may catch up by a bounded burst. When the queue is full, the team with the longest queue for its
-/// weight loses its newest request, so that a team above its share cannot displace the others.
+/// It is work-conserving: whenever something waits, `pop` for any team returns a request. A team that sent
+/// less than its share may catch up by a bounded burst. When the queue is full, the request that would be
+/// served last is shed, so that a team above its share cannot displace the others.
 class fair_queue {
 public:
     struct options {
         std::size_t capacity = 10'000; ///< Requests of all teams together.
         std::size_t teamCapacity = 2'000; ///< Requests of one team.
-        double burst = 4; ///< Cost that a team may be ahead of its share after a pause.
+        double burst = 64; ///< Cost that a team may be ahead of its share after a pause.
         /// Called for each request that is dropped; it was never sent anywhere.
         std::function<void(request_id, const base::error&)> refuse = {};
     };
@@ -61,16 +62,18 @@
 
     struct team_record {
         double weight = 1;
-        double finish = 0; ///< Virtual time at which the team's last started request ends.
+        /// Virtual time at which the team's last started request ends; a new team has its whole burst.
+        double finish = std::numeric_limits<double>::lowest();
         double start = 0; ///< Virtual start time of the first waiting request.
+        double waitingCost = 0;
         std::deque<queued_request> waiting;
     };
 
     team_index indexOf(std::string_view team);
-    void activate(team_index index);
+    bool makeRoom(team_index index, double cost);
     void dropNewest(team_index index);
-    team_index longestForItsWeight() const;
-    double lengthOf(const team_record& team) const;
+    team_index lastServed() const;
+    double earliestStart(const team_record& team) const;
 
     options m_options;
     double m_virtualTime = 0;
