Keep the last slots of an entry from teams above their burst

Runs are not interrupted, so a flood that holds every slot makes the other teams wait for one to end. `pop` takes a scope: with WithinBurst it passes over teams that have more waiting than their burst, and the entry uses it for its last free slots. For any team `pop` stays work-conserving.

--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -24,6 +24,7 @@
 constexpr int largeTeams = 10;
 constexpr double largeShare = 0.5; // of the load, for the large teams together
 constexpr int slots = 64; // runs that this entry may have open at once
+constexpr int reservedSlots = 4; // for teams with no more waiting than their burst
 constexpr double meanServiceSeconds = 0.25;
 constexpr double utilization = 0.85; // without the flood
 constexpr int meanBurst = 4; // requests that a team sends at once
@@ -98,10 +99,11 @@
         }
     }
 
-    std::optional<request_id> pop(base::time_point now)
+    std::optional<request_id> pop(base::time_point now, int free)
     {
         if (m_fair) {
-            const auto item = m_queue.pop(now);
+            const auto item
+                = m_queue.pop(now, free > reservedSlots ? pop_scope::AnyTeam : pop_scope::WithinBurst);
             return item ? std::optional(item->id) : std::nullopt;
         }
         if (m_plain.empty())
@@ -135,7 +137,7 @@
         = [&](double seconds) { return begin + base::duration(static_cast<std::int64_t>(seconds * 1e6)); };
     std::function<void()> start = [&] {
         while (free > 0) {
-            const auto id = room.pop(time.now());
+            const auto id = room.pop(time.now(), free);
             if (!id)
                 return;
             --free;
--- a/src/libs/routing/fair_queue.cpp
+++ b/src/libs/routing/fair_queue.cpp
@@ -103,16 +103,22 @@
                 base::error_reason::Overloaded, "the queue is full and this request would be served last"));
 }
 
-std::optional<queued_request> fair_queue::pop(base::time_point now)
+std::optional<queued_request> fair_queue::pop(base::time_point now, pop_scope scope)
 {
-    while (!m_active.empty()) {
-        const auto [start, index] = *m_active.begin();
+    const auto mayServe = [&](const auto& entry) {
+        return scope == pop_scope::AnyTeam || m_teams[entry.second].waitingCost <= m_options.burst;
+    };
+    while (true) {
+        const auto first = std::ranges::find_if(m_active, mayServe);
+        if (first == m_active.end())
+            return std::nullopt;
+        const auto [start, index] = *first;
         team_record& team = m_teams[index];
         const queued_request item = team.waiting.front();
         team.waiting.pop_front();
         team.waitingCost -= item.cost;
         --m_size;
-        m_active.erase(m_active.begin());
+        m_active.erase(first);
         const bool expired = item.deadline <= now;
         if (!expired) {
             m_virtualTime = std::max(m_virtualTime, start);
@@ -128,7 +134,6 @@
             m_options.refuse(
                 item.id, refusal(base::error_reason::DeadlineExceeded, "the deadline passed in the queue"));
     }
-    return std::nullopt;
 }
 
 bool fair_queue::cancel(std::string_view team, request_id id)
--- a/src/libs/routing/fair_queue.h
+++ b/src/libs/routing/fair_queue.h
@@ -25,11 +25,20 @@
     base::time_point deadline = base::time_point::max();
 };
 
+/// Which teams `fair_queue::pop` may serve.
+enum class pop_scope {
+    AnyTeam,
+    WithinBurst, ///< Only teams that have no more waiting than their burst.
+};
+
 /// Weighted fair queue over teams, by start-time fair queueing (Goyal, Vin and Cheng 1996).
 ///
 /// It is work-conserving: whenever something waits, `pop` for any team returns a request. A team that sent
 /// less than its share may catch up by a bounded burst. When the queue is full, the request that would be
 /// served last is shed, so that a team above its share cannot displace the others.
+///
+/// Runs are not interrupted, so a team with a long queue can fill all slots and make the others wait for one
+/// to end. The entry avoids that by taking its last few free slots with `pop_scope::WithinBurst`.
 class fair_queue {
 public:
     struct options {
@@ -50,7 +59,7 @@
     base::result<void> push(std::string_view team, const queued_request& item);
 
     /// Takes the next request; those whose deadline has passed are refused on the way.
-    std::optional<queued_request> pop(base::time_point now);
+    std::optional<queued_request> pop(base::time_point now, pop_scope scope = pop_scope::AnyTeam);
 
     /// Removes a request whose caller is gone.
     bool cancel(std::string_view team, request_id id);
--- a/tests/libs/routing/fair_queue_test.cpp
+++ b/tests/libs/routing/fair_queue_test.cpp
@@ -131,3 +131,18 @@
     CHECK(served[2] - served[1] >= 2);
     CHECK(served[2] - served[1] <= 5);
 }
+
+TEST_CASE("the last slots go only to teams with no more waiting than their burst")
+{
+    // Guards against a flood that fills all slots, and against other teams' requests that are passed over.
+    fair_queue queue({ .burst = 3 });
+    for (request_id id = 0; id < 5; ++id)
+        CHECK(queue.push("large", { .id = 1 }));
+    CHECK_FALSE(queue.pop(now, pop_scope::WithinBurst));
+    CHECK(queue.push("small", { .id = 2 }));
+    CHECK(queue.pop(now, pop_scope::WithinBurst)->id == 2);
+    CHECK_FALSE(queue.pop(now, pop_scope::WithinBurst));
+    CHECK(queue.pop(now)->id == 1);
+    CHECK(queue.pop(now)->id == 1);
+    CHECK(queue.pop(now, pop_scope::WithinBurst)->id == 1);
+}
