Count the prefill backlog against the deadline in admission

Admission compared the deadline with the wait for a slot only, so under overload every run started and every first token came late. The deadline is now that of the first token, and work whose prefill would end after it is refused as not_run. The fake's agent passes the prefill speed that it observes.

--- a/bench/support/fake_target.h
+++ b/bench/support/fake_target.h
@@ -164,7 +164,9 @@
         const int tokens = m_requests.at(id).promptTokens - m_requests.at(id).loadedTokens;
         m_awaitedTokens += tokens;
         // What a warm engine needs, by the agent's own estimate of the backlog, which includes this run.
-        const base::duration expected = transfer + m_admission.prefillBacklog()
+        const base::duration expected = transfer
+            + seconds(
+                static_cast<double>(m_admission.pendingPrefillTokens()) / m_options.prefillTokensPerSecond)
             + seconds(m_requests.at(id).outputTokens * m_options.secondsPerToken);
         m_timers.runAfter(transfer, [this, id, now, tokens, expected] {
             m_awaitedTokens -= tokens;
@@ -187,6 +189,7 @@
         const double speed = m_options.prefillTokensPerSecond / slowness();
         m_timers.runAfter(m_prefillFreeAt - now, [this, id, reused, decodeTime, expected, startedAt, speed] {
             m_observedSpeed += speedSmoothing * (speed - m_observedSpeed);
+            m_admission.setPrefillSpeed(m_observedSpeed);
             const fake_request& request = m_requests.at(id);
             remember(request.prefixKey, request.promptTokens + request.outputTokens);
             m_admission.prefillDone(id);
--- a/src/libs/routing/admission.cpp
+++ b/src/libs/routing/admission.cpp
@@ -83,6 +83,11 @@
     return base::duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+base::time_point admission::firstTokenAt(const work& item) const
+{
+    return m_clock.now() + prefillBacklog() + prefillTime(item.prefillTokens);
+}
+
 base::duration admission::prefillBacklog() const
 {
     return std::max(m_prefillsEnd - m_clock.now(), base::duration::zero());
@@ -97,9 +102,12 @@
 base::result<admission_outcome> admission::submit(const work& item)
 {
     expire();
-    if (item.deadline <= m_clock.now())
-        return tl::unexpected(
-            refusal(base::error_reason::DeadlineExceeded, "the deadline has passed", base::duration::zero()));
+    // A prefill that ends after the deadline takes the engine's time from work that could still be in time;
+    // under overload all work would come late.
+    const base::time_point firstToken = firstTokenAt(item);
+    if (item.deadline <= firstToken)
+        return tl::unexpected(refusal(base::error_reason::DeadlineExceeded,
+            "the first token would come after the deadline", prefillBacklog()));
     // Queued work starts as soon as it can, so whatever could start now overtakes none that could too.
     if (canStart(item)) {
         if (prefillBacklog() > item.waitLimit)
@@ -112,7 +120,7 @@
     if (wait > item.waitLimit)
         return tl::unexpected(
             refusal(base::error_reason::Overloaded, "the expected wait is above the limit", wait));
-    if (item.deadline - m_clock.now() < wait)
+    if (item.deadline - firstToken < wait)
         return tl::unexpected(
             refusal(base::error_reason::DeadlineExceeded, "the queue is too long for the deadline", wait));
     if (static_cast<std::size_t>(queued()) >= m_options.queueCapacity && !makeRoom(item.priority))
@@ -230,17 +238,16 @@
 
 void admission::expire()
 {
-    const base::time_point now = m_clock.now();
     std::deque<work> expired;
     for (auto& queue : m_queues)
         std::erase_if(queue, [&](const work& item) {
-            if (item.deadline > now)
+            if (item.deadline > firstTokenAt(item))
                 return false;
             expired.push_back(item);
             return true;
         });
     for (const work& item : expired)
-        shed(item, base::error_reason::DeadlineExceeded, "the deadline passed in the queue");
+        shed(item, base::error_reason::DeadlineExceeded, "the first token would come after the deadline");
 }
 
 void admission::shed(const work& item, base::error_reason reason, const char* message) const
@@ -254,7 +261,7 @@
     base::time_point earliest = base::time_point::max();
     for (const auto& queue : m_queues)
         for (const work& item : queue)
-            earliest = std::min(earliest, item.deadline);
+            earliest = std::min(earliest, item.deadline - prefillTime(item.prefillTokens));
     return earliest;
 }
 
--- a/src/libs/routing/admission.h
+++ b/src/libs/routing/admission.h
@@ -28,7 +28,7 @@
 struct work {
     work_id id = 0;
     routing::priority priority = routing::priority::Normal;
-    base::time_point deadline = base::time_point::max(); ///< Latest start.
+    base::time_point deadline = base::time_point::max(); ///< For the first token.
     /// Refuse when the expected wait is longer, because the entry knows a target that is then sooner.
     base::duration waitLimit = base::duration::max();
     int prefillTokens = 0;
@@ -83,10 +83,10 @@
     /// ended.
     void engineReported(int running, base::time_point measuredAt);
 
-    /// Sheds queued work whose deadline has passed; to be called at `nextDeadline`.
+    /// Sheds queued work that cannot meet its deadline any more; to be called at `nextDeadline`.
     void expire();
 
-    /// Returns the earliest deadline in the queue.
+    /// Returns the earliest time at which queued work surely misses its deadline.
     base::time_point nextDeadline() const;
 
     /// Sets the prefill speed that the engine shows at present.
@@ -116,6 +116,7 @@
     };
 
     base::duration prefillTime(std::int64_t tokens) const;
+    base::time_point firstTokenAt(const work& item) const;
     bool isLong(const work& item) const;
     bool canStart(const work& item) const;
     void begin(const work& item);
