--- a/bench/support/fake_target.h
+++ b/bench/support/fake_target.h
@@ -71,8 +71,7 @@
             .priority = request.priority,
             .deadline = request.deadline,
             .waitLimit = request.waitLimit,
-            .prefillTokens
-            = request.promptTokens - std::max(request.loadedTokens, cached(request.prefixKey)) });
+            .prefillTokens = request.promptTokens - reusable(request) });
         if (!outcome)
             m_requests.erase(request.id);
         else if (*outcome == routing::admission_outcome::Started)
@@ -93,7 +92,7 @@
             .queued = m_admission.queued(),
             .slots = m_admission.bound(),
             .pendingPrefillTokens = m_admission.pendingPrefillTokens(),
-            .prefillTokensPerSecond = m_options.prefillTokensPerSecond / slowness(),
+            .prefillTokensPerSecond = m_observedSpeed,
             .serviceTime = m_admission.serviceTime(),
             .contextLifetime
             = m_order.empty() ? base::duration::zero() : m_clock.now() - m_cache.at(m_order.back()).usedAt };
@@ -117,9 +116,10 @@
         m_order.clear();
         m_cachedTokens = 0;
         m_warmth = 0;
-        if (known && m_options.ramped) {
+        if (known) {
             m_ramp.restart();
-            m_admission.setBound(m_ramp.bound());
+            if (m_options.ramped)
+                m_admission.setBound(m_ramp.bound());
         }
     }
 
@@ -136,6 +136,11 @@
         std::list<std::uint64_t>::iterator place;
     };
 
+    int reusable(const fake_request& request) const
+    {
+        return std::min(request.prefixTokens, std::max(request.loadedTokens, cached(request.prefixKey)));
+    }
+
     double slowness() const
     {
         if (m_options.warmRuns == 0)
@@ -152,34 +157,40 @@
 
     void begin(routing::work_id id)
     {
-        if (m_options.ramped && m_admission.running() > m_ramp.bound())
+        if (m_admission.running() > m_ramp.bound())
             ++m_startsAboveRamp;
         // The engine prefills other prompts while the blocks of this one are on their way.
         const base::time_point now = m_clock.now();
         const base::duration transfer = std::max(m_requests.at(id).loadedAt - now, base::duration::zero());
         const int tokens = m_requests.at(id).promptTokens - m_requests.at(id).loadedTokens;
         m_awaitedTokens += tokens;
-        m_timers.runAfter(transfer, [this, id, now, tokens] {
+        // What a warm engine needs, by the agent's own estimate of the backlog, which includes this run.
+        const base::duration expected = transfer
+            + seconds(
+                static_cast<double>(m_admission.pendingPrefillTokens()) / m_options.prefillTokensPerSecond)
+            + seconds(m_requests.at(id).outputTokens * m_options.secondsPerToken);
+        m_timers.runAfter(transfer, [this, id, now, tokens, expected] {
             m_awaitedTokens -= tokens;
-            prefill(id, now);
+            prefill(id, now, expected);
         });
     }
 
-    void prefill(routing::work_id id, base::time_point startedAt)
+    void prefill(routing::work_id id, base::time_point startedAt, base::duration expected)
     {
         const fake_request& request = m_requests.at(id);
-        const int reused
-            = std::min(request.prefixTokens, std::max(request.loadedTokens, cached(request.prefixKey)));
+        const int reused = reusable(request);
         const int tokens = request.promptTokens - reused;
         const base::time_point now = m_clock.now();
         const base::time_point from = std::max(now, m_prefillFreeAt);
         m_prefillFreeAt = from + seconds(tokens * slowness() / m_options.prefillTokensPerSecond);
-        const double decode = request.outputTokens * m_options.secondsPerToken;
-        // What a warm engine needs, beside the transfer and the backlog that this run met.
-        const base::duration expected
-            = (from - startedAt) + seconds(tokens / m_options.prefillTokensPerSecond + decode);
-        const base::duration decodeTime = seconds(decode * slowness());
-        m_timers.runAfter(m_prefillFreeAt - now, [this, id, reused, decodeTime, expected, startedAt] {
+        const base::duration decodeTime
+            = seconds(request.outputTokens * m_options.secondsPerToken * slowness());
+        // The agent sees the speed of each prefill afterwards.
+        constexpr double speedSmoothing = 0.3;
+        const double speed = m_options.prefillTokensPerSecond / slowness();
+        m_timers.runAfter(m_prefillFreeAt - now, [this, id, reused, decodeTime, expected, startedAt, speed] {
+            m_observedSpeed += speedSmoothing * (speed - m_observedSpeed);
+            m_admission.setPrefillSpeed(m_observedSpeed);
             const fake_request& request = m_requests.at(id);
             remember(request.prefixKey, request.promptTokens + request.outputTokens);
             m_admission.prefillDone(id);
@@ -192,8 +203,10 @@
     {
         const fake_request request = m_requests.extract(id).mapped();
         ++m_warmth;
-        // The bound is lowered before the freed slot can be taken.
-        if (m_options.ramped && m_ramp.observe(m_clock.now() - startedAt, expected) < m_admission.bound())
+        // Without a ramp in force it is still kept, to count the starts above it. Lowering precedes the freed
+        // slot.
+        m_ramp.observe(m_clock.now() - startedAt, expected);
+        if (m_options.ramped && m_ramp.bound() < m_admission.bound())
             m_admission.setBound(m_ramp.bound());
         m_admission.finish(id);
         if (m_options.ramped)
@@ -228,6 +241,7 @@
     std::int64_t m_cachedTokens = 0;
     std::int64_t m_warmth = 0;
     int m_startsAboveRamp = 0;
+    double m_observedSpeed = m_options.prefillTokensPerSecond; ///< Tokens per second, smoothed.
     std::int64_t m_awaitedTokens = 0; ///< To be prefilled after a transfer.
     base::time_point m_prefillFreeAt {};
 };
