Add keep_policy with learned return gaps, and bench/context

Cause: a store that is full has to give up the blocks whose loss costs the least prefill.

Change: return_gaps learns hazards of return by team and age from a bounded sample that does not depend on what is kept; keep_policy ranks the last kept blocks of chains by returns per second x prefill seconds / bytes and takes the least valuable of a random sample; bench/context.cpp with a trace of return-after-gap arrivals.

--- a/src/libs/context/context.h
+++ b/src/libs/context/context.h
@@ -9,5 +9,7 @@
 #include "block_pool.h"
 #include "context_hints.h"
 #include "extent_storage.h"
+#include "keep_policy.h"
 #include "placement.h"
+#include "return_gaps.h"
 #include "transfer_link.h"
--- /dev/null
+++ b/src/libs/context/return_gaps.cpp
@@ -0,0 +1,216 @@
+#include "return_gaps.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::context {
+
+namespace {
+
+constexpr double classesPerDoubling = 2;
+
+// The common estimate of all teams counts like this many contexts of a team.
+constexpr double priorContexts = 20;
+
+// Without any observation a context returns with this probability in each age class. As the classes get
+// longer, older contexts are then worth less, as in LRU.
+constexpr double priorHazard = 0.05;
+
+// Those that have not returned yet are counted again after this many new contexts, or after a share of the
+// followed ones if that is more. With an older count, returns would seem more frequent than they are.
+constexpr std::size_t minimumCountInterval = 64;
+constexpr std::size_t countShare = 16;
+
+double secondsOf(base::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+return_gaps::return_gaps(options opts)
+    : m_options(opts)
+{
+    m_options.maximumContexts = std::max<std::size_t>(m_options.maximumContexts, 1);
+}
+
+std::size_t return_gaps::ageClass(base::duration age)
+{
+    const double seconds = std::max(secondsOf(age), 1.0);
+    return std::min(static_cast<std::size_t>(std::log2(seconds) * classesPerDoubling), ageClasses - 1);
+}
+
+double return_gaps::classStart(std::size_t index)
+{
+    return index == 0 ? 0 : std::exp2(static_cast<double>(index) / classesPerDoubling);
+}
+
+return_gaps::team_table& return_gaps::tableOf(team_number team)
+{
+    const std::size_t index = std::min<std::size_t>(team, m_options.maximumTeams);
+    if (index >= m_teams.size())
+        m_teams.resize(index + 1);
+    return m_teams[index];
+}
+
+void return_gaps::add(const followed_context& context, by_age<float> team_table::*counts, std::size_t index)
+{
+    const float weight = weightOf(context);
+    for (team_table* table : { &tableOf(context.team), &m_all }) {
+        (table->*counts)[index] += weight;
+        table->observations += weight;
+        table->unusedObservations += weight;
+    }
+    if (m_all.observations < m_options.maximumObservations)
+        return;
+    // Contexts that are followed now count half, too, so that returns and their absence keep their ratio.
+    ++m_halvings;
+    halveCounts();
+}
+
+float return_gaps::weightOf(const followed_context& context) const
+{
+    return std::exp2(static_cast<float>(context.halvings) - static_cast<float>(m_halvings));
+}
+
+void return_gaps::halveCounts()
+{
+    const auto halve = [](team_table& table) {
+        table.observations /= 2;
+        for (std::size_t i = 0; i < ageClasses; ++i) {
+            table.returned[i] /= 2;
+            table.lost[i] /= 2;
+            table.open[i] /= 2;
+        }
+    };
+    halve(m_all);
+    std::for_each(m_teams.begin(), m_teams.end(), halve);
+}
+
+void return_gaps::recordUse(team_number team, std::span<const block_key> chain, base::time_point now)
+{
+    for (const block_key& key : chain) {
+        if (!isSampled(key))
+            continue;
+        const auto found = m_contexts.find(key.low());
+        if (found == m_contexts.end() || found->second.team != team)
+            continue;
+        add(found->second, &team_table::returned, ageClass(now - found->second.lastUse));
+        m_contexts.erase(found);
+    }
+    if (chain.empty() || !isSampled(chain.back()))
+        return;
+    m_contexts[chain.back().low()] = { .team = team, .halvings = m_halvings, .lastUse = now };
+    const std::size_t interval = std::max(minimumCountInterval, m_contexts.size() / countShare);
+    if (++m_sinceCount >= interval || m_contexts.size() > m_options.maximumContexts)
+        recount(now);
+    while (m_contexts.size() > m_options.maximumContexts)
+        halveSample();
+}
+
+void return_gaps::recount(base::time_point now)
+{
+    m_sinceCount = 0;
+    m_all.open = {};
+    for (team_table& table : m_teams)
+        table.open = {};
+    for (auto it = m_contexts.begin(); it != m_contexts.end();) {
+        const base::duration age = now - it->second.lastUse;
+        const std::size_t index = ageClass(age);
+        if (age < m_options.maximumAge) {
+            const float weight = weightOf(it->second);
+            tableOf(it->second.team).open[index] += weight;
+            m_all.open[index] += weight;
+            ++it;
+            continue;
+        }
+        add(it->second, &team_table::lost, index);
+        it = m_contexts.erase(it);
+    }
+    m_all.computed = false;
+    for (team_table& table : m_teams)
+        table.computed = false;
+}
+
+void return_gaps::halveSample()
+{
+    // The choice depends on the key alone, so those that remain are no other kind of contexts.
+    m_sampleMask = m_sampleMask * 2 + 1;
+    // Past returns were counted at the earlier rate, so they count half beside those that are followed still.
+    halveCounts();
+    std::erase_if(m_contexts, [&](const auto& entry) { return (entry.first & m_sampleMask) != 0; });
+}
+
+return_gaps::by_age<double> return_gaps::hazards(const team_table& table) const
+{
+    by_age<double> result {};
+    by_age<double> prior {};
+    if (&table == &m_all) {
+        prior.fill(priorHazard);
+    } else {
+        prior = hazards(m_all);
+    }
+    const double horizon = secondsOf(m_options.maximumAge);
+    double atRisk = 0;
+    for (std::size_t i = ageClasses; i > 0; --i) {
+        const std::size_t k = i - 1;
+        const double censored = table.lost[k] + table.open[k];
+        atRisk += table.returned[k] + censored;
+        // No return is observed beyond the maximum age, so none is expected; the prior would keep such
+        // blocks.
+        if (classStart(k) >= horizon)
+            continue;
+        // Those censored in a class are at risk for half of it.
+        const double exposed = atRisk - censored / 2;
+        result[k] = (table.returned[k] + priorContexts * prior[k]) / (exposed + priorContexts);
+    }
+    return result;
+}
+
+void return_gaps::compute(team_table& table) const
+{
+    const by_age<double> hazard = hazards(table);
+    for (std::size_t from = 0; from < ageClasses; ++from) {
+        double surviving = 1;
+        double seconds = 0;
+        double best = 0;
+        for (std::size_t k = from; k < ageClasses; ++k) {
+            seconds += surviving * (1 - hazard[k] / 2) * (classStart(k + 1) - classStart(k));
+            surviving *= 1 - hazard[k];
+            best = std::max(best, (1 - surviving) / seconds);
+        }
+        table.density[from] = static_cast<float>(best);
+        table.probability[from] = static_cast<float>(1 - surviving);
+    }
+    table.computed = true;
+    table.unusedObservations = 0;
+}
+
+const return_gaps::team_table& return_gaps::current(team_number team)
+{
+    team_table& table = tableOf(team);
+    // A tenth more observations change the estimate little; with few of them, each one counts.
+    if (!table.computed || table.unusedObservations * 10 > table.observations + 10)
+        compute(table);
+    return table;
+}
+
+double return_gaps::returnsPerSecond(team_number team, base::duration age)
+{
+    return current(team).density[ageClass(age)];
+}
+
+double return_gaps::returnProbability(team_number team, base::duration age)
+{
+    return current(team).probability[ageClass(age)];
+}
+
+std::size_t return_gaps::memoryBytes() const
+{
+    // A node holds the entry, a link and the header of the allocator; each bucket a pointer.
+    constexpr std::size_t nodeBytes = sizeof(std::pair<std::uint64_t, followed_context>) + 2 * sizeof(void*);
+    return m_teams.capacity() * sizeof(team_table) + sizeof *this + m_contexts.size() * nodeBytes
+        + m_contexts.bucket_count() * sizeof(void*);
+}
+
+} // namespace marigold::context
--- a/tests/libs/context/block_pool_test.cpp
+++ b/tests/libs/context/block_pool_test.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr std::uint32_t extentBytes = 16;
-constexpr std::uint64_t memoryBytes = extentBytes * 12;
-constexpr std::uint64_t diskBytes = extentBytes * 16;
+constexpr std::uint64_t memoryBytes = std::uint64_t { extentBytes } * 12;
+constexpr std::uint64_t diskBytes = std::uint64_t { extentBytes } * 16;
 constexpr base::duration timeout = std::chrono::seconds(10);
 constexpr std::size_t maxPerTeam = 3;
 
