--- a/src/libs/entry/admin_api.cpp
+++ b/src/libs/entry/admin_api.cpp
@@ -448,7 +448,8 @@
     json domains = json::object();
     const auto* current = m_services.node.config().current();
     for (const auto& [id, tracked] : m_services.node.membership().table().all()) {
-        json& count = domains[tracked.info.failureDomain]["members"][std::string(control::nameOf(m_services.node.membership().stateOf(id)))];
+        json& count = domains[tracked.info.failureDomain]["members"]
+                             [std::string(control::nameOf(m_services.node.membership().stateOf(id)))];
         count = count.is_null() ? 1 : count.get<int>() + 1;
     }
     if (current)
--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -382,7 +382,11 @@
 
 std::string completion_session::eventId(std::uint64_t sequence) const
 {
-    const outcome::resume_token token { .run = *base::digest128FromHex(m_run), .attempt = m_place.attempt, .epoch = m_place.epoch, .sequence = sequence, .target = m_services.targets.table().info(m_target).id };
+    const outcome::resume_token token { .run = *base::digest128FromHex(m_run),
+        .attempt = m_place.attempt,
+        .epoch = m_place.epoch,
+        .sequence = sequence,
+        .target = m_services.targets.table().info(m_target).id };
     return m_services.resumeTokens.encode(token, m_request.caller.team);
 }
 
--- a/src/libs/node/fleet_node.cpp
+++ b/src/libs/node/fleet_node.cpp
@@ -236,11 +236,14 @@
             entries.push_back(tracked->info.id);
     }
     const std::string self = opts.settings.memberId();
-    if (opts.kind == control::member_kind::Entry && std::find(entries.begin(), entries.end(), self) == entries.end())
+    if (opts.kind == control::member_kind::Entry
+        && std::find(entries.begin(), entries.end(), self) == entries.end())
         entries.push_back(self);
     // In a domain without entries, two agents watch.
     const bool isCandidate = entries.empty() || opts.kind == control::member_kind::Entry;
-    config.setWatcher(isCandidate && control::config_replica::isWatcher(self, entries.empty() ? all : entries, opts.settings.process.failureDomain));
+    config.setWatcher(isCandidate
+        && control::config_replica::isWatcher(
+            self, entries.empty() ? all : entries, opts.settings.process.failureDomain));
 }
 
 void fleet_node::private_data::addCommonRoutes()
