--- /dev/null
+++ b/src/libs/agent/block_sender.cpp
@@ -0,0 +1,76 @@
+#include "block_sender.h"
+
+namespace marigold::agent {
+
+namespace {
+
+constexpr auto deliveryCheck = std::chrono::microseconds(500);
+
+/// A transfer is one piece, so that its answer is written at once.
+constexpr std::uint64_t largestPiece = std::uint64_t { 1 } << 30;
+
+} // namespace
+
+block_sender::block_sender(node::fleet_node& node, options opts)
+    : m_node(node)
+    , m_link({ .time = node.clock(),
+          .initialBytesPerSecond = opts.bytesPerSecond,
+          .pieceBytes = largestPiece,
+          .log = &node.log() })
+{
+}
+
+void block_sender::send(const node::exchange_ptr& exchange, net::http_response response,
+    context::transfer_priority priority, base::duration recompute)
+{
+    const auto id = m_link.submit({ .priority = priority,
+        .bytes = response.body.size(),
+        .recompute = recompute > base::duration::zero() ? std::optional(recompute) : std::nullopt });
+    if (!id)
+        return node::replyError(exchange, id.error());
+    m_waiting[*id] = { .exchange = exchange, .response = std::move(response) };
+    exchange->onClosed([this, id = *id] {
+        if (m_waiting.erase(id) > 0)
+            m_link.cancel(id);
+    });
+    pump();
+}
+
+void block_sender::pump()
+{
+    refuseLate();
+    const auto piece = m_link.nextPiece();
+    if (!piece)
+        return;
+    const auto found = m_waiting.extract(piece->id);
+    if (found.empty()) {
+        m_link.pieceFailed();
+        return pump();
+    }
+    m_node.metrics().linkBytes(operate::link_tier::Memory, operate::byte_direction::Sent, piece->bytes);
+    found.mapped().exchange->reply(found.mapped().response);
+    watchDelivery(found.mapped().exchange);
+}
+
+void block_sender::watchDelivery(const node::exchange_ptr& exchange)
+{
+    m_node.loop().runAfter(deliveryCheck, [this, exchange] {
+        if (exchange->pendingBytes() > 0)
+            return watchDelivery(exchange);
+        m_link.pieceDone();
+        pump();
+    });
+}
+
+void block_sender::refuseLate()
+{
+    for (const auto& id : m_link.cancelLate()) {
+        const auto late = m_waiting.extract(id);
+        if (!late.empty())
+            node::replyError(late.mapped().exchange,
+                { .reason = base::error_reason::DeadlineExceeded,
+                    .message = "computing the block is sooner than sending it" });
+    }
+}
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/agent/block_store.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <context/context.h>
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace marigold::agent {
+
+/// The cached blocks of a store: a pool of memory and disk, and the policy that decides what stays.
+class block_store {
+public:
+    struct options {
+        const base::clock& time;
+        std::uint64_t memoryBytes = 64 << 20;
+        std::uint64_t diskBytes = 256 << 20;
+        std::uint32_t extentBytes = 16 << 10;
+        std::uint64_t epoch = 1; ///< Above that of every earlier process of this store.
+        std::uint64_t seed = 1; ///< For the samples of the policy.
+        const base::event_log* log = nullptr;
+    };
+
+    /// A block on its way in.
+    struct incoming_block {
+        std::string team;
+        context::block_key key;
+        context::block_key parent; ///< Null for the first block of a chain.
+        std::uint16_t position = 0;
+        std::string_view content;
+        std::uint64_t checksum = 0; ///< As the sender computed it.
+    };
+
+    struct held_blocks {
+        std::size_t count = 0; ///< Leading blocks of the chain.
+        std::uint64_t bytes = 0;
+    };
+
+    struct verified_block {
+        std::string content;
+        std::uint64_t checksum = 0;
+    };
+
+    struct counters {
+        std::uint64_t reads = 0;
+        std::uint64_t refusedReads = 0;
+        std::uint64_t writes = 0;
+        std::uint64_t evicted = 0;
+        std::uint64_t movedDown = 0;
+    };
+
+    explicit block_store(options opts);
+
+    /// Returns how much of \a chain is held.
+    held_blocks lookUp(std::span<const context::block_key> chain) const;
+
+    /// As `lookUp`, for a request of \a team, from which the policy learns.
+    held_blocks recordUse(const std::string& team, std::span<const context::block_key> chain);
+
+    /// Reads a block; the bytes are returned only after the read was verified.
+    base::result<verified_block> read(const context::block_key& key);
+
+    /// Stores a block and frees what is worth less when there is no room.
+    base::result<void> write(const incoming_block& block);
+
+    /// Ends writes and reads that have timed out.
+    void expire() { m_pool.expire(); }
+
+    const context::block_pool& pool() const { return m_pool; }
+    const counters& counts() const { return m_counters; }
+
+private:
+    context::team_number numberOf(const std::string& team);
+    bool makeRoom();
+    bool moveDown(std::uint32_t slot);
+    void freed(const context::block_key& key, std::uint32_t slot);
+
+    context::heap_storage m_memory;
+    context::heap_storage m_disk;
+    context::keep_policy m_policy;
+    context::block_pool m_pool;
+    std::vector<context::block_key> m_keys; ///< By slot.
+    std::map<std::string, context::team_number> m_teams;
+    counters m_counters;
+};
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/agent/block_transfer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace marigold::agent {
+
+/// Paths and headers of block transfers between agents.
+inline constexpr std::string_view blocksPath = "/agent/blocks/";
+inline constexpr std::string_view lookupPath = "/agent/blocks/lookup";
+inline constexpr std::string_view checksumHeader = "X-Checksum";
+inline constexpr std::string_view teamHeader = "X-Team";
+inline constexpr std::string_view parentHeader
+    = "X-Parent"; ///< Key of the block before; absent for the first one.
+inline constexpr std::string_view positionHeader = "X-Position"; ///< In the chain, from zero.
+inline constexpr std::string_view priorityHeader
+    = "X-Priority"; ///< 0 interactive, 1 normal, 2 batch, 3 background.
+inline constexpr std::string_view recomputeHeader
+    = "X-Recompute-Us"; ///< Time that computing the block would take.
+
+/// Parses a whole number without sign; empty for any other text.
+inline std::optional<std::uint64_t> numberFrom(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace marigold::agent
--- a/src/libs/agent/http_block_mover.cpp
+++ b/src/libs/agent/http_block_mover.cpp
@@ -1,5 +1,6 @@
 #include "http_block_mover.h"
 
+#include "block_transfer.h"
 #include "events.h"
 
 #include <context/context.h>
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr std::string_view checksumHeader = "X-Checksum";
-constexpr std::string_view teamHeader = "X-Team";
-
 std::string checksumOf(std::string_view bytes)
 {
     return std::to_string(context::block_checksum::of(std::as_bytes(std::span(bytes.data(), bytes.size()))));
@@ -68,7 +66,9 @@
     if (state->next >= wanted || left <= base::duration::zero())
         return state->done(static_cast<int>(state->next));
     net::http_call call { .to = state->store,
-        .target = fmt::format("/agent/blocks/{}", state->request.blockKeys[state->next]),
+        .target = fmt::format("{}{}", blocksPath, state->request.blockKeys[state->next]),
+        .headers = { { std::string(priorityHeader), std::to_string(state->request.priority) },
+            { std::string(recomputeHeader), std::to_string(left.count()) } },
         .timeout = left };
     node.peers().send(std::move(call),
         [this, state](base::result<net::http_response> answer) { fetched(state, std::move(answer)); });
@@ -118,10 +118,10 @@
 
 void http_block_mover::private_data::lookUp(const std::shared_ptr<save_state>& state)
 {
-    const nlohmann::json body { { "keys", state->request.blockKeys } };
+    const nlohmann::json body { { "keys", state->request.blockKeys }, { "record", false } };
     node.peers().send({ .to = state->store,
                           .method = "POST",
-                          .target = "/agent/blocks/lookup",
+                          .target = std::string(lookupPath),
                           .body = body.dump(),
                           .timeout = std::chrono::seconds(1) },
         [this, state](const base::result<net::http_response>& answer) {
@@ -151,10 +151,13 @@
 {
     const std::size_t bytes = content.size();
     net::http_headers headers { { std::string(checksumHeader), checksumOf(content) },
-        { std::string(teamHeader), state->request.team } };
+        { std::string(teamHeader), state->request.team },
+        { std::string(positionHeader), std::to_string(state->next) } };
+    if (state->next > 0)
+        headers.add(std::string(parentHeader), state->request.blockKeys[state->next - 1]);
     net::http_call call { .to = state->store,
         .method = "PUT",
-        .target = fmt::format("/agent/blocks/{}", state->request.blockKeys[state->next]),
+        .target = fmt::format("{}{}", blocksPath, state->request.blockKeys[state->next]),
         .headers = std::move(headers),
         .body = std::move(content),
         .timeout = std::chrono::seconds(10) };
--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -104,6 +104,11 @@
     });
     if (!m_request.lastEventId.empty())
         return startResume();
+    if (const auto entered = m_services.limiter.enter(m_request.caller.team, m_request.maxTokens); !entered) {
+        m_services.node.metrics().shed(m_request.caller.team);
+        return finish(entered.error());
+    }
+    m_isCounted = true;
     const double cost
         = static_cast<double>(m_request.prompt.size()) / bytesPerToken + 8.0 * m_request.maxTokens;
     m_services.gate.enter(m_request.caller.team, cost, m_request.caller.deadline,
@@ -520,19 +525,24 @@
     m_services.explain.finish(m_request.caller.requestId, base::verdict::Ran, "");
     m_services.node.metrics().outcome(base::verdict::Ran, std::nullopt);
     m_isDone = true;
-    if (m_isAdmitted)
-        m_services.gate.leave();
+    leaveQueues();
     m_services.node.drain().leave(m_drainWork);
     m_services.node.loop().cancel(m_stallTimer);
 }
 
+void completion_session::leaveQueues()
+{
+    if (std::exchange(m_isAdmitted, false))
+        m_services.gate.leave();
+    if (std::exchange(m_isCounted, false))
+        m_services.limiter.leave(m_request.caller.team);
+}
+
 void completion_session::finish(const base::error& problem)
 {
     const bool wasDone = m_isDone;
     m_isDone = true;
-    if (m_isAdmitted)
-        m_services.gate.leave();
-    m_isAdmitted = false;
+    leaveQueues();
     if (wasDone)
         return;
     closeAttempt(false);
--- a/src/libs/entry/completion_session.h
+++ b/src/libs/entry/completion_session.h
@@ -37,6 +37,7 @@
     void waitForTarget(const base::error& problem);
     void complete();
     void finish(const base::error& problem);
+    void leaveQueues();
     void closeAttempt(bool failed);
     void watchStall();
     void callerGone();
@@ -50,6 +51,7 @@
     node::exchange_ptr m_exchange;
     std::unique_ptr<completion_writer> m_writer;
     outcome::drain::work_id m_drainWork = 0;
+    bool m_isCounted = false; ///< It counts against the limits of its team.
     bool m_isAdmitted = false; ///< It holds a place at the gate.
     bool m_isDone = false;
 
--- a/src/libs/entry/context_finder.cpp
+++ b/src/libs/entry/context_finder.cpp
@@ -44,11 +44,11 @@
             .tokens = static_cast<int>(hint.blocks) * m_settings.blockBytes / bytesPerToken });
         deepest = std::max(deepest, static_cast<int>(hint.blocks));
     }
-    askStores(found, std::move(done));
+    askStores(found, team, std::move(done));
 }
 
-void context_finder::askStores(
-    const std::shared_ptr<prompt_context>& found, std::function<void(base::result<prompt_context>)> done)
+void context_finder::askStores(const std::shared_ptr<prompt_context>& found, std::string_view team,
+    std::function<void(base::result<prompt_context>)> done)
 {
     const auto stores = m_targets.stores();
     std::vector<context::store_state> states;
@@ -67,7 +67,7 @@
     nlohmann::json keys = nlohmann::json::array();
     for (const auto& key : found->chain)
         keys.push_back(key.hex());
-    const std::string body = nlohmann::json { { "keys", keys } }.dump();
+    const std::string body = nlohmann::json { { "keys", keys }, { "team", team } }.dump();
     const auto waiting = std::make_shared<std::size_t>(choice.read.size());
     for (const auto index : choice.read) {
         const std::string address = stores[index].address;
@@ -98,11 +98,11 @@
         return;
     found.keptBlocks = held;
     found.keptAt = store;
-    const double bytes
-        = value.value("bytes", static_cast<double>(held) * static_cast<double>(m_settings.blockContentBytes));
-    const double speed = value.value("link_bytes_per_second", m_settings.linkBytesPerSecond);
-    found.transferTime = std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>(bytes / std::max(speed, 1.0)));
+    const double assumed = static_cast<double>(held) * static_cast<double>(m_settings.blockContentBytes)
+        / m_settings.linkBytesPerSecond;
+    constexpr double microsecondsPerSecond = 1e6;
+    found.transferTime = base::duration(
+        value.value("transfer_us", static_cast<std::int64_t>(assumed * microsecondsPerSecond)));
 }
 
 void context_finder::served(std::span<const context::block_key> chain, routing::target_index target)
--- a/src/libs/entry/context_finder.h
+++ b/src/libs/entry/context_finder.h
@@ -39,8 +39,8 @@
     std::size_t memoryBytes() const { return m_hints.memoryBytes(); }
 
 private:
-    void askStores(
-        const std::shared_ptr<prompt_context>& found, std::function<void(base::result<prompt_context>)> done);
+    void askStores(const std::shared_ptr<prompt_context>& found, std::string_view team,
+        std::function<void(base::result<prompt_context>)> done);
     void takeAnswer(prompt_context& found, const std::string& store,
         const base::result<net::http_response>& answer) const;
 
--- a/src/libs/entry/entry_services.cpp
+++ b/src/libs/entry/entry_services.cpp
@@ -24,6 +24,7 @@
     , resumeTokens(tokenSecrets(given.node.cluster))
     , explain(owner.clock())
     , gate(owner.clock(), owner.loop(), { .capacity = static_cast<std::size_t>(given.queueCapacity) })
+    , limiter(owner.clock())
 {
 }
 
--- a/src/libs/entry/entry_services.h
+++ b/src/libs/entry/entry_services.h
@@ -4,6 +4,7 @@
 #include "entry_settings.h"
 #include "request_gate.h"
 #include "target_directory.h"
+#include "team_limiter.h"
 
 #include <node/node.h>
 #include <operate/operate.h>
@@ -27,6 +28,7 @@
     outcome::resume_token_codec resumeTokens;
     operate::explain_ring explain;
     request_gate gate;
+    team_limiter limiter;
 };
 
 } // namespace marigold::entry
--- a/src/libs/entry/fleet_entry.cpp
+++ b/src/libs/entry/fleet_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -94,6 +95,11 @@
         entries += tracked.info.kind == control::member_kind::Entry
             && tracked.info.state == control::member_state::Alive;
     const double share = boundFactor * m_services.targets.totalBound() / std::max(1, entries);
+    const std::pair wanted(m_node.config().version(), entries);
+    const auto* current = m_node.config().current();
+    // With thousands of teams the shares are computed again only when they change.
+    if (current && std::exchange(m_limitsFor, wanted) != wanted)
+        m_services.limiter.configure(current->document.content().teams, entries);
     m_services.gate.setBound(std::max(minimumBound, static_cast<int>(std::ceil(share))));
 }
 
--- a/src/libs/entry/fleet_entry.h
+++ b/src/libs/entry/fleet_entry.h
@@ -26,6 +26,8 @@
     void configChanged(const control::config_content& content);
     void updateBound();
 
+    std::pair<std::uint64_t, int> m_limitsFor { 0,
+        0 }; ///< Version and entries that the limits of teams were set for.
     entry_settings m_settings;
     node::fleet_node m_node;
     entry_services m_services { m_node, m_settings };
--- a/src/libs/entry/service_session.cpp
+++ b/src/libs/entry/service_session.cpp
@@ -74,6 +74,11 @@
     if (!work)
         return finish(work.error());
     m_drainWork = *work;
+    if (const auto entered = m_services.limiter.enter(m_caller.team, 0); !entered) {
+        m_services.node.metrics().shed(m_caller.team);
+        return finish(entered.error());
+    }
+    m_isCounted = true;
     m_services.retryBudget.addRequest();
     attempt();
 }
@@ -214,6 +219,8 @@
 void service_session::end(base::verdict verdict, std::string_view reason)
 {
     m_isDone = true;
+    if (m_isCounted)
+        m_services.limiter.leave(m_caller.team);
     m_services.explain.finish(m_caller.requestId, verdict, reason);
     m_services.node.metrics().outcome(
         verdict, reason.empty() ? std::nullopt : std::optional(base::reasonFromString(reason)));
--- a/src/libs/entry/service_session.h
+++ b/src/libs/entry/service_session.h
@@ -38,6 +38,7 @@
     routing::choice_ticket m_ticket;
     base::time_point m_attemptStart {};
     int m_attemptsMade = 0;
+    bool m_isCounted = false; ///< It counts against the limits of its team.
     bool m_isDone = false;
 };
 
