Do not eject a target whose agent refuses, and probe ejected targets

Cause: bench/faults found two of three order services ejected at one entry after the key-value service lost calls: each refusal with the reason unavailable counted as a failure of the target. Without traffic an ejected target was never probed and stayed out.

Change: only broken connections and results that may have run count as failures; each entry asks one ejected target at a time whether it is ready.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -208,7 +208,14 @@
                 request(d.ports[name], "DELETE", "/standin/faults")
         for process in d.processes.values():
             process.signal(signal.SIGCONT)
-        d.wait_for(self.is_healed, 20, f"the deployment after {self.case}")
+        try:
+            d.wait_for(self.is_healed, 20, f"the deployment after {self.case}")
+        except RuntimeError:
+            for name in d.entries:
+                for target in json.loads(d.admin("GET", "/admin/targets", entry=name)[2])["targets"]:
+                    print(f"  {name} sees {target['id']} as {target['state']}, load {target['load']}")
+            print(f"  logs are in {d.folder}")
+            raise
 
     def is_healed(self):
         d = self.deployment
--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -401,6 +401,7 @@
     if (m_isDone || attemptNumber != m_attemptNumber)
         return;
     m_call = 0;
+    m_isTransportError = !answer;
     if (!answer)
         return attemptFailed(answer.error(), answer.error().verdict == base::verdict::MayHaveRun);
     if (answer->status != 200) {
@@ -430,8 +431,6 @@
 
 void completion_session::attemptFailed(base::error problem, bool isRunHeld)
 {
-    const bool isRefusal
-        = problem.verdict == base::verdict::NotRun && problem.reason != base::error_reason::Unavailable;
     m_services.explain.addAttempt(m_request.caller.requestId,
         { .target = m_services.targets.table().info(m_target).id,
             .start = m_attemptStart - m_request.caller.arrival,
@@ -441,7 +440,7 @@
     const bool canResume = isRunHeld && m_merger && m_merger->resumeRequest() && m_resumes < maxResumes;
     if (!canResume) {
         m_tally.failed(problem);
-        closeAttempt(!isRefusal && problem.reason != base::error_reason::Unavailable);
+        closeAttempt(problem.verdict != base::verdict::NotRun || m_isTransportError);
     }
     // A refusal costs the target nothing, so that the next candidate is tried outside the retry budget.
     const bool isCheap = problem.verdict == base::verdict::NotRun
--- a/src/libs/entry/completion_session.h
+++ b/src/libs/entry/completion_session.h
@@ -73,6 +73,7 @@
     net::call_id m_call = 0;
     std::uint64_t m_attemptNumber = 0; ///< Answers to an earlier call are ignored.
     int m_attemptsMade = 0; ///< Without refusals by admission.
+    bool m_isTransportError = false; ///< The last attempt failed without an answer of the agent.
     int m_waits = 0; ///< Rounds in which every candidate refused.
     int m_resumes = 0;
     net::event_stream_decoder m_decoder;
--- a/src/libs/entry/fleet_entry.cpp
+++ b/src/libs/entry/fleet_entry.cpp
@@ -75,6 +75,7 @@
         return listening;
     m_node.loop().runEvery(refreshInterval, [this] {
         m_services.targets.refresh();
+        m_services.targets.probeEjected();
         updateBound();
     });
     return {};
--- a/src/libs/entry/service_session.cpp
+++ b/src/libs/entry/service_session.cpp
@@ -152,14 +152,14 @@
     const base::time_point now = m_services.node.clock().now();
     m_services.targets.table().recordEnd(m_ticket, now);
     if (!answer)
-        return attemptFailed(answer.error());
+        return attemptFailed(answer.error(), false);
     const auto replayed = answer->headers.find(protocol::replayedHeader);
     if (!replayed) {
         // Only the agent's own refusals lack the header; they carry a verdict.
         const base::error fallback { .verdict = base::verdict::MayHaveRun,
             .reason = base::error_reason::Unavailable,
             .message = fmt::format("the agent answered with status {}", answer->status) };
-        return attemptFailed(protocol::decodeError(answer->body, fallback));
+        return attemptFailed(protocol::decodeError(answer->body, fallback), true);
     }
     m_services.targets.observe(m_target, false, 1.0);
     m_services.explain.addAttempt(m_caller.requestId,
@@ -177,11 +177,12 @@
     end(base::verdict::Ran, "");
 }
 
-void service_session::attemptFailed(const base::error& problem)
+void service_session::attemptFailed(const base::error& problem, bool isFromAgent)
 {
     m_tally.failed(problem);
-    const bool isRefusal
-        = problem.verdict == base::verdict::NotRun && problem.reason != base::error_reason::Unavailable;
+    // An agent that refuses as not_run is alive; what it lacks, such as the key-value service, is not its
+    // fault.
+    const bool isRefusal = isFromAgent && problem.verdict == base::verdict::NotRun;
     if (!isRefusal)
         m_services.targets.observe(m_target, true, 1.0);
     m_services.explain.addAttempt(m_caller.requestId,
--- a/src/libs/entry/service_session.h
+++ b/src/libs/entry/service_session.h
@@ -21,7 +21,8 @@
     void attempt();
     routing::target_index chooseTarget();
     void answered(const base::result<net::http_response>& answer);
-    void attemptFailed(const base::error& problem);
+    /// \a isFromAgent: the agent answered, so that the problem is not its connection.
+    void attemptFailed(const base::error& problem, bool isFromAgent);
     void finish(const base::error& problem);
     void end(base::verdict verdict, std::string_view reason);
     base::duration remaining() const { return m_caller.deadline - m_services.node.clock().now(); }
--- a/src/libs/entry/target_directory.cpp
+++ b/src/libs/entry/target_directory.cpp
@@ -150,6 +150,22 @@
     m_node.membership().observeRequest(m_addresses[target].text(), !failed);
 }
 
+void target_directory::probeEjected()
+{
+    const auto target = m_detector.dueProbe(m_node.clock().now());
+    if (target == routing::noTarget)
+        return;
+    m_detector.beginProbe(target, m_node.clock().now());
+    m_node.client().send({ .to = m_addresses[target],
+                             .target = "/readyz",
+                             .timeout = std::chrono::seconds(1),
+                             .freshConnection = true },
+        [this, target](const base::result<net::http_response>& answer) {
+            constexpr int ready = 200;
+            m_detector.observe(target, !answer || answer->status != ready, 1.0, m_node.clock().now());
+        });
+}
+
 net::endpoint target_directory::addressOf(routing::target_index target) const
 {
     return target < m_addresses.size() ? m_addresses[target] : net::endpoint {};
--- a/src/libs/entry/target_directory.h
+++ b/src/libs/entry/target_directory.h
@@ -29,6 +29,10 @@
     /// Notes how a request ended, for the outlier detector and for membership.
     void observe(routing::target_index target, bool failed, double latencyRatio);
 
+    /// Asks one ejected target whose turn it is whether it is ready, so that it returns without traffic as
+    /// well.
+    void probeEjected();
+
     routing::target_table& table() { return m_table; }
     routing::outlier_detector& detector() { return m_detector; }
 
--- a/src/libs/entry/team_limiter.cpp
+++ b/src/libs/entry/team_limiter.cpp
@@ -9,7 +9,8 @@
 
 constexpr std::chrono::milliseconds concurrencyRetry { 200 };
 
-/// Refills are sums of fractions; without this margin a caller that waits as it was told may be refused again.
+/// Refills are sums of fractions; without this margin a caller that waits as it was told may be refused
+/// again.
 constexpr double rounding = 1e-6;
 
 tl::unexpected<base::error> refuse(const char* message, std::chrono::milliseconds retryAfter)
