--- a/src/libs/control/membership.h
+++ b/src/libs/control/membership.h
@@ -194,7 +194,7 @@
     std::vector<std::string> m_seeds;
     bool m_joined = false;
     base::time_point m_nextSync;
-    base::duration m_syncWait; ///< Doubles from the join interval up to the sync interval.
+    base::duration m_syncWait; ///< Doubles with each agreement, up to the sync interval.
     base::time_point m_nextLoad;
     int m_spreadClass = -1; ///< Class of the load that was spread last; -1 to spread again.
     int m_noticesLeft = 0; ///< Repeats of the notice of the own version.
--- a/src/libs/control/membership_sync.cpp
+++ b/src/libs/control/membership_sync.cpp
@@ -18,9 +18,6 @@
 {
     if (now < m_nextSync)
         return;
-    // The first agreement may be with a process that has just started too, so that more follow soon.
-    if (m_joined)
-        m_syncWait = std::min(2 * m_syncWait, m_options.syncInterval);
     m_nextSync = now + m_syncWait;
     auto peers = randomMembers(1, {});
     // A process that has not joined, or that sees nobody, goes back to its seeds.
@@ -71,8 +68,11 @@
 
 void membership::handleSyncPage(const membership_message& message)
 {
-    if (message.updates.empty())
-        m_joined = true;
+    if (!message.updates.empty())
+        return;
+    // The first agreement may be with a process that has just started too, so that more follow soon.
+    m_joined = true;
+    m_syncWait = std::min(2 * m_syncWait, m_options.syncInterval);
 }
 
 } // namespace marigold::control
