--- a/src/libs/outcome/claim_bucket.cpp
+++ b/src/libs/outcome/claim_bucket.cpp
@@ -318,13 +318,18 @@
     m_assumeAbsent = m_readNow = m_readBeforeWrite = false;
 }
 
+void claim_bucket::requireRead()
+{
+    m_assumeAbsent = false;
+    m_readBeforeWrite = true;
+}
+
 void claim_bucket::conflicted()
 {
     m_planned.reset();
-    m_assumeAbsent = false;
     // Read directly before the next write: a value read now would be stale again by then if another home
     // writes this shard at the same pace.
-    m_readBeforeWrite = true;
+    requireRead();
 }
 
 void claim_bucket::writeLost()
--- a/src/libs/outcome/claim_bucket.h
+++ b/src/libs/outcome/claim_bucket.h
@@ -112,6 +112,9 @@
     /// Ends the write that began at \a started with success.
     void written(std::uint64_t revision, base::time_point started);
 
+    /// Makes the next write wait for a read.
+    void requireRead();
+
     /// Ends the write because another process wrote before.
     void conflicted();
 
--- a/src/libs/outcome/claim_shard.cpp
+++ b/src/libs/outcome/claim_shard.cpp
@@ -162,6 +162,9 @@
     if (!write) {
         // Only refused calls are left here, and those whose claim was never stored.
         bucket.settle(environment(), m_context.time.now(), m_context.time.wallNow());
+        // Should a write still be wanted, what is known of the value was wrong.
+        if (bucket.writeDue())
+            bucket.requireRead();
         return false;
     }
     m_busy = true;
--- a/tests/libs/outcome/claim_ledger_test.cpp
+++ b/tests/libs/outcome/claim_ledger_test.cpp
@@ -312,6 +312,34 @@
         CHECK(at.claim(agent, keys[i])->answer->body == fmt::to_string(i));
 }
 
+TEST_CASE("a bucket is deleted after window and margin, and nothing else is")
+{
+    // Guards against a claim that is forgotten while a process with another clock still accepts its key, and
+    // against values of other services or forms that the sweep deletes.
+    ledger_fixture at;
+    at.start("a", { .retentionMargin = 0s }); // raised to 10 min
+    std::vector<std::string> kept { "claims/orders/x/00", "claims/orders2/000000000001/00",
+        "claims/orders/1" };
+    for (const auto& name : kept)
+        at.service.put({ .key = name, .value = "other" }, [](const auto&) {});
+    std::vector<std::string> buckets;
+    for (int i = 0; i < 30; ++i) { // more than the sweep reads at once
+        const auto key = at.newKey();
+        REQUIRE(isTicket(at.claim(*at.agents[0], key)));
+        buckets.push_back(claim_shard::valueKey(
+            "claims/orders/", static_cast<std::uint64_t>(key.created().time_since_epoch() / 10s), 0));
+        at.network.advance(10s);
+    }
+    at.network.advance(65min - 60s); // the first key is 1 h and 9 min old
+    CHECK(at.service.entries.size() == kept.size() + buckets.size());
+    for (const auto& name : buckets)
+        CHECK(at.service.entries.contains(name));
+    at.network.advance(9min);
+    CHECK(at.service.entries.size() == kept.size());
+    for (const auto& name : kept)
+        CHECK(at.service.entries.contains(name));
+}
+
 TEST_CASE("flush writes all results, and a home moves only with its agent")
 {
     // Guards against a graceful stop that leaves results unknown, and against a mass move of shards.
