Give each hint its age and test limits, backlog and fading hints

One idle time for all hints kept old copies alive when a session was served elsewhere since; each hint now has its own age.

--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -39,6 +39,7 @@
 std::vector<double> drawShares(int teams)
 {
     std::vector<double> shares;
+    shares.reserve(static_cast<std::size_t>(teams));
     for (int t = 0; t < teams; ++t)
         shares.push_back(t < largeTeams ? largeShare / largeTeams : (1 - largeShare) / (teams - largeTeams));
     return shares;
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -41,8 +41,16 @@
     { .resourceTime = 3, .home = 1 },
 } };
 
+constexpr base::duration eventDelay { 2'000'000 };
+constexpr double lostEventShare = 0.2;
 constexpr base::duration refusalTime { 2'000 }; // round trip between failure domains
 
+/// What an entry saw of a session.
+struct known_prefix {
+    prefix_hint hint;
+    base::time_point seenAt;
+};
+
 /// What one entry knows.
 struct entry_state {
     entry_state(const target_table::options& place, std::uint64_t seed)
@@ -54,7 +62,7 @@
     target_table table;
     base::random_source random;
     router subject { table, random, {} };
-    std::unordered_map<std::uint64_t, prefix_hint> hints; ///< Small enough to need no eviction here.
+    std::unordered_map<std::uint64_t, known_prefix> hints; ///< Small enough to need no eviction here.
     fake_stores::backlog links {}; ///< As of the last report, with the transfers that this entry added.
 };
 
@@ -65,6 +73,7 @@
         : m_shape(shape)
         , m_plan(chosen)
         , m_weights(weights)
+        , m_random(seed)
     {
         for (int e = 0; e < shape.entries; ++e)
             m_entries.push_back(std::make_unique<entry_state>(
@@ -167,9 +176,12 @@
             }) };
         if (m_plan == plan::PrefixAffinity)
             return { only(entry, request, homeOf(next.session)) };
-        const auto hint = entry.hints.find(next.session);
-        if (hint != entry.hints.end())
-            request.hints = std::span(&hint->second, 1);
+        prefix_hint known;
+        if (const auto found = entry.hints.find(next.session); found != entry.hints.end()) {
+            known = found->second.hint;
+            known.age = m_time.now() - found->second.seenAt;
+            request.hints = std::span(&known, 1);
+        }
         request.idleTime = m_stores->idleTime(next.session);
         const route_decision decision = entry.subject.route(request, m_time.now());
         return { decision.candidates().begin(), decision.candidates().end() };
@@ -194,8 +206,8 @@
             .transferTime = request.kept.transferTime };
         const auto hint = entry.hints.find(request.prefixKey);
         context_offer withHint = offer;
-        if (hint != entry.hints.end() && hint->second.target == t)
-            withHint.engineTokens = hint->second.tokens;
+        if (hint != entry.hints.end() && hint->second.hint.target == t)
+            withHint.engineTokens = hint->second.hint.tokens;
         return { .target = t,
             .cost = cost_model::estimate(
                 request.goal, request.size, entry.table.estimate(t, m_time.now()), withHint) };
@@ -274,12 +286,26 @@
         m_out.linkBusySeconds += std::chrono::duration<double>(busy).count();
     }
 
+    /// The engine's cache event reaches the other entries late, and some are lost.
+    void publish(std::uint64_t session, const known_prefix& known)
+    {
+        for (const auto& entry : m_entries)
+            if (m_random.uniform() >= lostEventShare)
+                m_timers.runAfter(eventDelay, [&hints = entry->hints, session, known] {
+                    known_prefix& last = hints[session];
+                    if (last.seenAt < known.seenAt)
+                        last = known;
+                });
+    }
+
     void onFirstToken(int target, const fake_request& request, int recomputed)
     {
         const open_request& open = m_open.at(request.id);
-        entry_state& entry = *m_entries[static_cast<std::size_t>(open.source.entry)];
-        entry.hints[request.prefixKey]
-            = { .target = static_cast<target_index>(target), .tokens = request.promptTokens };
+        const known_prefix known { .hint
+            = { .target = static_cast<target_index>(target), .tokens = request.promptTokens },
+            .seenAt = m_time.now() };
+        m_entries[static_cast<std::size_t>(open.source.entry)]->hints[request.prefixKey] = known;
+        publish(request.prefixKey, known);
         if (open.arrivedAt < m_measureFrom)
             return;
         ++m_out.requests;
@@ -309,6 +335,7 @@
     const user_shape& m_shape;
     plan m_plan;
     oracle_weights m_weights;
+    base::random_source m_random; ///< Which cache events are lost.
     base::manual_clock m_time;
     base::manual_scheduler m_timers { m_time };
     std::vector<std::unique_ptr<entry_state>> m_entries;
--- a/bench/support/measure.h
+++ b/bench/support/measure.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -39,7 +40,8 @@
 {
     if (values.empty())
         return 0;
-    const auto rank = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1) + 0.5);
+    const auto rank
+        = static_cast<std::ptrdiff_t>(std::lround(share * static_cast<double>(values.size() - 1)));
     std::nth_element(values.begin(), values.begin() + rank, values.end());
     return values[static_cast<std::size_t>(rank)];
 }
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -148,13 +148,15 @@
     const route_request& request, const candidate& item, const load_estimate& load) const
 {
     // Context that was idle for longer than the engine keeps any has been evicted.
-    if (load.contextLifetime > base::duration::zero() && request.idleTime > load.contextLifetime)
-        return 0;
+    const auto mayHold = [&](base::duration idle) {
+        return load.contextLifetime == base::duration::zero() || idle <= load.contextLifetime;
+    };
     int tokens = 0;
     for (const prefix_hint& hint : request.hints)
-        if (hint.target == item.target)
+        if (hint.target == item.target && mayHold(hint.age))
             tokens = std::max(tokens, hint.tokens);
-    if (tokens == 0 && request.idleTime > base::duration::zero() && item.has(route_reason::PrefixHome))
+    const bool used = request.idleTime > base::duration::zero();
+    if (tokens == 0 && used && item.has(route_reason::PrefixHome) && mayHold(request.idleTime))
         tokens = static_cast<int>(m_options.homeHitShare * request.size.prefixTokens);
     return tokens;
 }
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -28,6 +28,7 @@
 struct prefix_hint {
     target_index target = noTarget;
     int tokens = 0;
+    base::duration age { 0 }; ///< Since the target last used it, as far as this entry knows; zero if unknown.
 };
 
 /// Kept blocks of the prefix; the caller estimates the transfer times.
@@ -46,7 +47,7 @@
     std::uint64_t prefixKey = 0; ///< Hash of the key of the first block; 0 for none.
     std::span<const prefix_hint> hints = {};
     kept_context kept = {};
-    /// Time since the prefix was last used anywhere, as the store or the hints tell; zero if unknown.
+    /// Time since the prefix was last used anywhere, as the store tells; zero if unknown.
     base::duration idleTime { 0 };
     target_index home = noTarget; ///< For `HomeCall`.
     std::span<const target_index> tried = {}; ///< Targets that refused this request already.
--- a/tests/libs/routing/admission_test.cpp
+++ b/tests/libs/routing/admission_test.cpp
@@ -183,6 +183,30 @@
     CHECK_FALSE(agent.subject->cancelQueued(3));
 }
 
+TEST_CASE("work that the prefill backlog delays too much is refused at once")
+{
+    // Guards against the collapse under overload, when every run starts and every first token comes late, and
+    // against a wait at one target while another is free.
+    fixture agent({ .bound = 8, .prefillTokensPerSecond = 4'000 });
+    const auto at = [&](int seconds) { return agent.time.now() + std::chrono::seconds(seconds); };
+    CHECK(!agent.submit({ .id = 1, .prefillTokens = 8'000 }));
+    CHECK(agent.subject->pendingPrefillTokens() == 8'000);
+    const auto late = agent.submit({ .id = 2, .deadline = at(3), .prefillTokens = 4'000 });
+    REQUIRE(late);
+    CHECK(late->verdict == base::verdict::NotRun);
+    CHECK(late->reason == base::error_reason::DeadlineExceeded);
+    const auto elsewhere = agent.submit({ .id = 3, .waitLimit = std::chrono::seconds(1) });
+    REQUIRE(elsewhere);
+    CHECK(elsewhere->reason == base::error_reason::Overloaded);
+    CHECK(!agent.submit(
+        { .id = 4, .deadline = at(4), .waitLimit = std::chrono::seconds(2), .prefillTokens = 4'000 }));
+    agent.time.advance(std::chrono::seconds(1));
+    CHECK(agent.subject->pendingPrefillTokens() == 8'000);
+    agent.subject->prefillDone(1);
+    agent.subject->prefillDone(4);
+    CHECK(agent.subject->pendingPrefillTokens() == 0);
+}
+
 TEST_CASE("queued work whose deadline passes is refused and never starts")
 {
     // Guards against an engine that spends time on answers nobody waits for.
--- a/tests/libs/routing/router_test.cpp
+++ b/tests/libs/routing/router_test.cpp
@@ -110,6 +110,13 @@
         std::size_t usable = 0;
         for (target_index i = 0; i < static_cast<target_index>(count); ++i)
             usable += !excluded.contains(i) && !detector.isEjected(i);
+        // A refusal above the limit needs a next candidate to go to.
+        for (std::size_t i = 0; i < decision.candidates().size(); ++i) {
+            const candidate& item = decision.candidates()[i];
+            const bool last = i + 1 == decision.candidates().size();
+            RC_ASSERT((item.waitLimit == base::duration::max()) == last);
+            RC_ASSERT(std::chrono::duration<double>(item.waitLimit).count() >= item.cost.beginSeconds);
+        }
         if (request.policy != routing_policy::HomeCall)
             RC_ASSERT(decision.candidates().size() >= std::min(usable, route_decision::capacity));
     }));
@@ -153,6 +160,29 @@
         kept.goal = serving_goal::LeastRecomputation;
         CHECK(all.subject.route(kept, now).candidates()[0].cost.action == context_action::Load);
     }
+    SUBCASE("a hint or a home counts only while the engine may still hold the prefix")
+    {
+        load_report load = idle;
+        load.contextLifetime = std::chrono::seconds(60);
+        for (const target_index target : { own, other })
+            all.table.report(target, load, now);
+        for (const int seconds : { 59, 61 }) {
+            CAPTURE(seconds);
+            const base::duration age = std::chrono::seconds(seconds);
+            const auto expected = seconds < 60 ? context_action::Reuse : context_action::Recompute;
+            const std::vector<prefix_hint> hints { { .target = other, .tokens = 7'000, .age = age } };
+            auto returning = request;
+            returning.hints = hints;
+            for (const candidate& item : all.subject.route(returning, now).candidates())
+                if (item.target == other)
+                    CHECK(item.cost.action == expected);
+            returning.hints = {};
+            returning.idleTime = age;
+            for (const candidate& item : all.subject.route(returning, now).candidates())
+                if (item.has(route_reason::PrefixHome))
+                    CHECK(item.cost.action == expected);
+        }
+    }
     SUBCASE("an unreachable target is the last resort and another version is no candidate")
     {
         all.table.setState(own, target_state::Unreachable);
