Load from a store what a hinted engine turns out to lack

Cause: 6 of 36 returning prompts went to an engine by a hint that its cache no longer met, and were computed again although a store held their blocks (explain showed action=reuse, cached 0).

Change: a run that may reuse carries the store as well; the agent asks its engine what it holds and loads the rest.

--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -208,7 +208,8 @@
     };
     for (const auto& key : m_context.chain)
         request.blockKeys.push_back(key.hex());
-    if (chosen.cost.action == routing::context_action::Load) {
+    // A hint about an engine may be stale: the agent asks its engine and loads only what is missing there.
+    if (chosen.cost.action != routing::context_action::Recompute) {
         request.loadBlocks = m_context.keptBlocks;
         request.loadFrom = m_context.keptAt;
     }
