--- a/src/libs/routing/admission.h
+++ b/src/libs/routing/admission.h
@@ -26,7 +26,7 @@
 
 /// One request at the agent.
 struct work {
-    work_id id = 0;
+    work_id id = 0; ///< Unique among the queued and running work of this agent.
     routing::priority priority = routing::priority::Normal;
     base::time_point deadline = base::time_point::max(); ///< For the first token.
     /// Refuse when the expected wait is longer, because the entry knows a target that is then sooner.
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -106,7 +106,7 @@
         base::duration domainPreference { 5'000 };
         /// Share of the prompt's prefill time by which a prefix home may be slower than another target; a
         /// later return of the prompt finds its prefix there.
-        double homePreference = 0.15;
+        double homePreference = 0.1;
         /// Share of the prefix that its first home is presumed to hold, while the prefix was idle for less
         /// than the home keeps context; most hints are at the entry that served the last turn.
         double homeHitShare = 0.8;
