--- a/bench/cold.cpp
+++ b/bench/cold.cpp
@@ -1,5 +1,4 @@
-/// \brief Load on cold targets and goodput while the fleet starts and while a failure domain leaves and
-/// returns.
+/// \brief Load on cold targets, and goodput while the fleet starts and a failure domain leaves and returns.
 
 #include "support/fake_fleet.h"
 #include "support/measure.h"
