Keep the ramp at a cold engine that may fall over, and pass the wait limit to agents

The ramp grows at a cold target whose rounds take a steady time; an engine that falls over at one run more than it bears gives no sign before.

Change: the agent lets the ramp grow only after rounds within twice a warm engine's time; runs carry the wait above which the entry knows a sooner target; the last free places at the gate are kept for teams within their burst.

--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -13,6 +13,11 @@
 
 constexpr int bytesPerToken = 4;
 
+/// The bound grows only after rounds within this multiple of a warm engine's time. A cold engine may fall
+/// over at one run more than it bears, without being slower before, so that steady times alone are no proof
+/// (invariant I4).
+constexpr double warmFactor = 2.0;
+
 std::string engineIdOf(std::string_view team, std::string_view run)
 {
     return base::toHex(base::truncate(base::sha256(fmt::format("{}/{}/{}", team.size(), team, run))));
@@ -86,7 +91,11 @@
     , clock(time)
     , timers(timers)
     , opts(std::move(given))
-    , ramp({ .first = opts.firstSlots, .full = opts.slots, .target = opts.target, .log = opts.log })
+    , ramp({ .first = opts.firstSlots,
+          .full = opts.slots,
+          .slowestFactor = warmFactor,
+          .target = opts.target,
+          .log = opts.log })
     , admission(time,
           { .bound = opts.firstSlots,
               .queueCapacity = static_cast<std::size_t>(opts.queueCapacity),
@@ -404,6 +413,7 @@
     const auto admitted = d->admission.submit({ .id = added.work,
         .priority = static_cast<routing::priority>(request.priority),
         .deadline = d->clock.now() + request.remaining,
+        .waitLimit = request.waitLimit,
         .prefillTokens = static_cast<int>(request.prompt.size()) / bytesPerToken });
     if (!admitted) {
         const auto refused = added.reader;
--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -109,8 +109,11 @@
         return finish(entered.error());
     }
     m_isCounted = true;
-    const double cost
-        = static_cast<double>(m_request.prompt.size()) / bytesPerToken + 8.0 * m_request.maxTokens;
+    // A request of a thousand prompt tokens and a hundred generated ones costs about three.
+    constexpr double promptTokensPerUnit = 1024;
+    constexpr double generatedTokensPerUnit = 100;
+    const double cost = 1 + static_cast<double>(m_request.prompt.size()) / bytesPerToken / promptTokensPerUnit
+        + m_request.maxTokens / generatedTokensPerUnit;
     m_services.gate.enter(m_request.caller.team, cost, m_request.caller.deadline,
         [self = shared_from_this()](const base::result<void>& admitted) {
             if (!admitted) {
@@ -204,6 +207,7 @@
         .temperature = m_request.temperature,
         .priority = static_cast<int>(m_request.caller.priority),
         .remaining = remaining(),
+        .waitLimit = chosen.waitLimit,
         .cacheSalt = m_context.cacheSalt,
     };
     for (const auto& key : m_context.chain)
--- a/src/libs/entry/request_gate.cpp
+++ b/src/libs/entry/request_gate.cpp
@@ -9,6 +9,9 @@
 /// Expired requests are refused at least this often, even when nothing ends.
 constexpr auto expiryInterval = std::chrono::milliseconds(50);
 
+/// One place in so many is kept for teams within their burst.
+constexpr int reservedShare = 16;
+
 } // namespace
 
 request_gate::request_gate(const base::clock& time, base::scheduler& timers, options opts)
@@ -61,10 +64,18 @@
     dispatch();
 }
 
+routing::pop_scope request_gate::scopeNow() const
+{
+    // Running requests are not interrupted, so that the last free places are kept for teams within their
+    // burst: a team with a long queue cannot make the others wait for the end of one of its own.
+    const int kept = std::max(1, m_bound / reservedShare);
+    return m_running >= m_bound - kept ? routing::pop_scope::WithinBurst : routing::pop_scope::AnyTeam;
+}
+
 void request_gate::dispatch()
 {
     while (m_running < m_bound) {
-        const auto next = m_queue.pop(m_clock.now());
+        const auto next = m_queue.pop(m_clock.now(), scopeNow());
         if (!next)
             break;
         const auto ready = m_ready.extract(next->id);
--- a/src/libs/entry/request_gate.h
+++ b/src/libs/entry/request_gate.h
@@ -26,7 +26,7 @@
     void setWeight(std::string_view team, double weight) { m_queue.setWeight(team, weight); }
 
     /// Calls \a ready when the request may go on, with an error (`not_run`) if it is shed before.
-    /// \a cost is the expected work in seconds.
+    /// \a cost is the expected work in units of about one short request.
     void enter(std::string_view team, double cost, base::time_point deadline,
         std::function<void(base::result<void>)> ready);
 
@@ -38,6 +38,7 @@
     int bound() const { return m_bound; }
 
 private:
+    routing::pop_scope scopeNow() const;
     void dispatch();
 
     const base::clock& m_clock;
--- a/src/libs/protocol/run_messages.cpp
+++ b/src/libs/protocol/run_messages.cpp
@@ -67,9 +67,9 @@
         { "run", run }, { "attempt", attempt }, { "epoch", epoch }, { "team", team }, { "owner", owner },
         { "model", model }, { "version", version }, { "prompt", prompt }, { "max_tokens", maxTokens },
         { "temperature", temperature }, { "priority", priority },
-        { "remaining_us", toMicroseconds(remaining) }, { "cache_salt", cacheSalt },
-        { "block_keys", blockKeys }, { "load_blocks", loadBlocks }, { "load_from", loadFrom },
-        { "save_to", saveTo }
+        { "remaining_us", toMicroseconds(remaining) }, { "wait_limit_us", toMicroseconds(waitLimit) },
+        { "cache_salt", cacheSalt }, { "block_keys", blockKeys }, { "load_blocks", loadBlocks },
+        { "load_from", loadFrom }, { "save_to", saveTo }
     }.dump();
 }
 
@@ -89,6 +89,7 @@
             .temperature = value.value("temperature", 0.0),
             .priority = value.value("priority", 1),
             .remaining = base::duration(value.at("remaining_us").get<std::int64_t>()),
+            .waitLimit = base::duration(value.value("wait_limit_us", base::duration::max().count())),
             .cacheSalt = value.at("cache_salt").get<std::string>(),
             .blockKeys = value.value("block_keys", std::vector<std::string>()),
             .loadBlocks = value.value("load_blocks", 0),
--- a/src/libs/protocol/run_messages.h
+++ b/src/libs/protocol/run_messages.h
@@ -37,6 +37,8 @@
     double temperature = 0;
     int priority = 1; ///< 0 interactive, 1 normal, 2 batch.
     base::duration remaining {}; ///< Until the deadline, on the clock of the sender.
+    base::duration waitLimit
+        = base::duration::max(); ///< The agent refuses the run when it would wait longer.
     std::string cacheSalt; ///< Separates teams and versions in the engine's prefix cache.
     std::vector<std::string> blockKeys; ///< Of the whole blocks of the prompt, hexadecimal.
     int loadBlocks = 0; ///< Leading blocks to load from `loadFrom` before the run.
