Keep malformed settings files from aborting the process

A run of settings_test under RC_PARAMS=seed=1 aborted inside toml++ 3.3.0: the parser asserts that a key starts with a valid character before it checks it, so that a file with "[{" ends the process. 6 of the seeds 1 to 40 aborted; the fixed seed of scripts/test did not. A trial under the address and undefined behaviour sanitizers also showed that its tables for white space run into undefined behaviour for characters such as U+00E9.

The assertion is replaced, so that the parser comes to its own check and names the place. Settings files are ASCII from now on, and other bytes are refused with line and column; a text may hold "\uXXXX".

--- a/src/libs/settings/toml_source.cpp
+++ b/src/libs/settings/toml_source.cpp
@@ -1,3 +1,8 @@
+// toml++ 3.3.0 asserts that the first character of a key is valid before it checks it, so that a file with
+// "[{" aborts the process; with NDEBUG the same place is undefined behaviour. Without the assertion the
+// parser comes to its own check and reports the character.
+#undef NDEBUG
+#define TOML_ASSERT(expr) static_cast<void>(0)
 #define TOML_EXCEPTIONS 0
 #define TOML_ENABLE_FORMATTERS 0
 
@@ -62,6 +67,21 @@
     }
 }
 
+/// Returns the place and fault of the first byte outside ASCII; empty if there is none.
+std::string nonAsciiFault(std::string_view text)
+{
+    std::size_t line = 1;
+    std::size_t column = 1;
+    for (const char c : text) {
+        if (static_cast<unsigned char>(c) > 0x7f)
+            return fmt::format(
+                "{}:{}: character outside ASCII; in a text, write it as \\uXXXX", line, column);
+        column = c == '\n' ? 1 : column + 1;
+        line += c == '\n' ? 1 : 0;
+    }
+    return {};
+}
+
 } // namespace
 
 base::result<std::vector<toml_entry>> parseToml(std::string_view text)
@@ -69,6 +89,10 @@
     if (text.size() > largestSettingsFile)
         return base::notRun(
             base::error_reason::TooLarge, fmt::format("1:1: file exceeds {} bytes", largestSettingsFile));
+    // The tables of toml++ 3.3.0 for white space run into undefined behaviour for most characters outside
+    // ASCII.
+    if (std::string fault = nonAsciiFault(text); !fault.empty())
+        return base::notRun(base::error_reason::InvalidRequest, std::move(fault));
     const toml::parse_result parsed = toml::parse(text);
     if (!parsed) {
         const auto place = parsed.error().source().begin;
--- a/tests/libs/settings/reference_test.cpp
+++ b/tests/libs/settings/reference_test.cpp
@@ -29,6 +29,7 @@
            "environment variable `MARIGOLD_SECTION_KEY` and the flag `--set section.key=value`; the last "
            "one\n"
            "that is given wins. An unknown key, a wrong type or a value outside its range stops the start.\n"
+           "The file is TOML 1.0 in ASCII; a text holds other characters as `\\uXXXX`.\n"
            "In a variable or flag, entries of a list are separated by commas.\n\n"
            "This page is generated from the registered keys by `MARIGOLD_WRITE_DOCS=1 "
            "build/tests/settings_test`.\n\n"
