--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -82,9 +82,9 @@
         for (auto& process : processes)
             byId[process->members.self().id] = process.get();
         // Every process knows the first of each domain, as a VM list would tell it.
-        std::vector<std::string> seeds;
+        std::vector<std::string> seeds(static_cast<std::size_t>(domains));
         for (int d = 0; d < domains; ++d)
-            seeds.push_back(describe(d, 0, regions).id);
+            seeds[static_cast<std::size_t>(d)] = describe(d, 0, regions).id;
         for (std::size_t i = 0; i < processes.size(); ++i)
             processes[i]->members.join(i == 0 ? std::vector<std::string> {} : seeds);
     }
--- a/src/libs/control/update_queue.h
+++ b/src/libs/control/update_queue.h
@@ -17,7 +17,7 @@
     void push(const std::string& id, bool urgent);
 
     /// Takes up to \a most ids for one message; each is dropped once it has been sent often enough for
-    /// \a members processes. At most three of a message are load changes.
+    /// \a members processes. At most two of a message are load changes.
     std::vector<std::string> take(std::size_t most, std::size_t members);
 
     bool empty() const { return m_items.empty(); }
--- a/tests/libs/control/dissemination_test.cpp
+++ b/tests/libs/control/dissemination_test.cpp
@@ -145,9 +145,9 @@
             CHECK(!process->replica.current()->document.content().failureDomains.at("hall-alta").inService);
         // The members' versions are known where an operator may ask.
         fleet.run(inForceBound - domainOutGoal);
-        for (const auto& [id, process] : fleet.processes) {
-            CAPTURE(process->id());
-            CHECK(process->members.versionsInForce().lowestVersion == 2);
+        for (const auto& entry : fleet.processes) {
+            CAPTURE(entry.first);
+            CHECK(entry.second->members.versionsInForce().lowestVersion == 2);
         }
     }
 }
--- a/tests/libs/control/membership_test.cpp
+++ b/tests/libs/control/membership_test.cpp
@@ -154,9 +154,9 @@
             fleet.processes.at(leaving)->members.leave();
         }
         fleet.run(seconds(3));
-        for (const auto& [id, process] : fleet.processes) {
-            CAPTURE(process->id());
-            CHECK(!process->members.mayReceiveWork(leaving));
+        for (const auto& entry : fleet.processes) {
+            CAPTURE(entry.first);
+            CHECK(!entry.second->members.mayReceiveWork(leaving));
         }
     }
 }
