--- a/src/libs/agent/agent_settings.cpp
+++ b/src/libs/agent/agent_settings.cpp
@@ -5,6 +5,11 @@
 void agent_settings::registerSettings(settings::settings_reader& reader)
 {
     node.registerSettings(reader);
+    registerOwnSettings(reader);
+}
+
+void agent_settings::registerOwnSettings(settings::settings_reader& reader)
+{
     reader.addChoice("agent.kind", kind,
         { { "engine", control::target_kind::Engine }, { "store", control::target_kind::Store },
             { "service", control::target_kind::Service } },
--- a/src/libs/agent/agent_settings.h
+++ b/src/libs/agent/agent_settings.h
@@ -24,6 +24,9 @@
     double linkBytesPerSecond = 200e6; ///< First assumption about the link of a store.
 
     void registerSettings(settings::settings_reader& reader);
+
+    /// Registers the settings of these sections alone, for the reference.
+    void registerOwnSettings(settings::settings_reader& reader);
 };
 
 } // namespace marigold::agent
--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "active_run.h"
 #include "events.h"
+#include "run_piece_codec.h"
 
 #include <algorithm>
 
@@ -18,28 +19,6 @@
 /// (invariant I4).
 constexpr double warmFactor = 2.0;
 
-std::string engineIdOf(std::string_view team, std::string_view run)
-{
-    return base::toHex(base::truncate(base::sha256(fmt::format("{}/{}/{}", team.size(), team, run))));
-}
-
-protocol::run_piece toMessage(const outcome::answer_piece& piece)
-{
-    protocol::run_piece message { .attempt = base::toHex(piece.attempt),
-        .epoch = piece.epoch,
-        .sequence = piece.sequence,
-        .text = piece.text,
-        .tokens = piece.tokens };
-    if (piece.end) {
-        message.isFinal = true;
-        message.finishReason = outcome::nameOf(piece.end->reason);
-        message.promptTokens = piece.end->usage.promptTokens;
-        message.cachedTokens = piece.end->usage.cachedTokens;
-        message.completionTokens = piece.end->usage.completionTokens;
-    }
-    return message;
-}
-
 /// Engines honour higher numbers first, callers give 0 to the most urgent class.
 int enginePriority(int priority)
 {
--- /dev/null
+++ b/src/libs/agent/run_piece_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <outcome/outcome.h>
+#include <protocol/protocol.h>
+
+#include <string>
+#include <string_view>
+
+namespace marigold::agent {
+
+/// Returns the name of \a run at the engine. It depends on the team, so that a run of another team cannot be
+/// asked for.
+std::string engineIdOf(std::string_view team, std::string_view run);
+
+/// Returns \a piece as it is sent to an entry.
+protocol::run_piece toMessage(const outcome::answer_piece& piece);
+
+} // namespace marigold::agent
--- /dev/null
+++ b/src/libs/entry/completion_session_stream.cpp
@@ -0,0 +1,173 @@
+#include "completion_session.h"
+
+#include <fmt/format.h>
+
+namespace marigold::entry {
+
+namespace {
+
+/// A stream that is silent for this long is read again from the last piece: its agent may be paused.
+constexpr auto stallLimit = std::chrono::seconds(3);
+
+constexpr int maxResumes = 4;
+
+std::optional<outcome::answer_piece> toPiece(const protocol::run_piece& message)
+{
+    const auto attempt = base::digest128FromHex(message.attempt);
+    if (!attempt)
+        return std::nullopt;
+    outcome::answer_piece piece { .attempt = *attempt,
+        .epoch = message.epoch,
+        .sequence = message.sequence,
+        .text = message.text,
+        .tokens = message.tokens };
+    if (message.isFinal) {
+        const auto reason = message.finishReason == "length" ? outcome::finish_reason::Length
+            : message.finishReason == "content_filter"       ? outcome::finish_reason::ContentFilter
+                                                             : outcome::finish_reason::Stop;
+        piece.end = outcome::answer_end { .reason = reason,
+            .usage = { .promptTokens = message.promptTokens,
+                .cachedTokens = message.cachedTokens,
+                .completionTokens = message.completionTokens } };
+    }
+    return piece;
+}
+
+} // namespace
+
+void completion_session::openStream(net::http_call call)
+{
+    m_services.node.peers().cancel(m_call);
+    const std::uint64_t number = ++m_attemptNumber;
+    m_decoder = {};
+    m_streamError.reset();
+    m_attemptStart = m_services.node.clock().now();
+    m_lastPiece = m_attemptStart;
+    const auto self = shared_from_this();
+    call.onHeaders = [self, number](int, const net::http_headers& headers) {
+        if (number == self->m_attemptNumber)
+            self->m_services.targets.reported(
+                self->m_target, headers.find(protocol::loadHeader).value_or(""));
+    };
+    call.onData = [self, number](std::string_view bytes) { self->bytesArrived(number, bytes); };
+    m_call = m_services.node.peers().send(std::move(call),
+        [self, number](const base::result<net::http_response>& answer) { self->callEnded(number, answer); });
+    watchStall();
+}
+
+void completion_session::watchStall()
+{
+    m_services.node.loop().cancel(m_stallTimer);
+    m_stallTimer
+        = m_services.node.loop().runAfter(stallLimit, [self = weak_from_this(), number = m_attemptNumber] {
+              const auto session = self.lock();
+              if (!session || session->m_isDone || number != session->m_attemptNumber)
+                  return;
+              const base::duration silent = session->m_services.node.clock().now() - session->m_lastPiece;
+              // Before its first piece a run may wait in the agent's queue; then only a dead agent ends the
+              // wait.
+              const auto state = session->m_services.node.membership().stateOf(
+                  session->m_services.targets.addressOf(session->m_target).text());
+              const bool isSuspect
+                  = state != control::member_state::Alive && state != control::member_state::Leaving;
+              if (silent < stallLimit || (!session->m_merger->hasDelivered() && !isSuspect))
+                  return session->watchStall();
+              session->m_services.node.peers().cancel(session->m_call);
+              ++session->m_attemptNumber;
+              session->attemptFailed({ .verdict = base::verdict::MayHaveRun,
+                                         .reason = base::error_reason::StreamBroken,
+                                         .message = "the target is silent" },
+                  true);
+          });
+}
+
+void completion_session::bytesArrived(std::uint64_t attemptNumber, std::string_view bytes)
+{
+    if (m_isDone || attemptNumber != m_attemptNumber)
+        return;
+    m_lastPiece = m_services.node.clock().now();
+    const auto self = shared_from_this();
+    for (const auto& event : m_decoder.feed(bytes)) {
+        take(event);
+        if (m_isDone || attemptNumber != m_attemptNumber)
+            return;
+    }
+    constexpr std::size_t maxEventBytes = 4 << 20;
+    if (m_decoder.isOversized(maxEventBytes))
+        m_streamError = base::error { .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::StreamBroken,
+            .message = "the agent sent an oversized event" };
+}
+
+void completion_session::take(const net::event_stream_decoder::event& event)
+{
+    if (event.name == "load")
+        return m_services.targets.reported(m_target, event.data);
+    if (event.name == "error") {
+        m_streamError = protocol::decodeError(event.data,
+            { .verdict = base::verdict::MayHaveRun,
+                .reason = base::error_reason::StreamBroken,
+                .message = "the agent sent a broken error" });
+        return;
+    }
+    const auto message = protocol::run_piece::decode(event.data);
+    auto piece = message ? toPiece(*message) : std::nullopt;
+    if (piece)
+        advance(m_merger->take(std::move(*piece)));
+}
+
+void completion_session::advance(const outcome::merge_step& step)
+{
+    for (const auto& piece : step.deliver) {
+        if (m_isDone)
+            return;
+        const base::time_point now = m_services.node.clock().now();
+        if (piece.sequence == 1)
+            m_services.node.metrics().timeToFirstToken(m_request.caller.team, now - m_request.caller.arrival);
+        m_writer->piece(piece, eventId(piece.sequence));
+        if (piece.end) {
+            m_services.node.metrics().promptTokens(m_request.caller.team, piece.end->usage.promptTokens,
+                piece.end->usage.promptTokens - piece.end->usage.cachedTokens);
+            return complete();
+        }
+    }
+    if (step.broken)
+        return finish(*step.broken);
+    if (step.resume && m_resumes < maxResumes)
+        sendResume(*step.resume);
+}
+
+std::string completion_session::eventId(std::uint64_t sequence) const
+{
+    const outcome::resume_token token { .run = *base::digest128FromHex(m_run),
+        .attempt = m_place.attempt,
+        .epoch = m_place.epoch,
+        .sequence = sequence,
+        .target = m_services.targets.table().info(m_target).id };
+    return m_services.resumeTokens.encode(token, m_request.caller.team);
+}
+
+void completion_session::callEnded(
+    std::uint64_t attemptNumber, const base::result<net::http_response>& answer)
+{
+    if (m_isDone || attemptNumber != m_attemptNumber)
+        return;
+    m_call = 0;
+    m_isTransportError = !answer;
+    if (!answer)
+        return attemptFailed(answer.error(), answer.error().verdict == base::verdict::MayHaveRun);
+    if (answer->status != 200) {
+        const base::error fallback { .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Unavailable,
+            .message = fmt::format("the agent answered with status {}", answer->status) };
+        return attemptFailed(protocol::decodeError(answer->body, fallback), false);
+    }
+    if (m_streamError)
+        return attemptFailed(*m_streamError, false);
+    attemptFailed({ .verdict = base::verdict::MayHaveRun,
+                      .reason = base::error_reason::StreamBroken,
+                      .message = "the agent's stream ended early" },
+        true);
+}
+
+} // namespace marigold::entry
--- a/src/libs/entry/entry_settings.cpp
+++ b/src/libs/entry/entry_settings.cpp
@@ -5,6 +5,11 @@
 void entry_settings::registerSettings(settings::settings_reader& reader)
 {
     node.registerSettings(reader);
+    registerOwnSettings(reader);
+}
+
+void entry_settings::registerOwnSettings(settings::settings_reader& reader)
+{
     reader.add("entry.public_address", &publicAddress,
         { .description = "Address for callers and operators.",
             .format = settings::setting_format::IpAddress });
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -21,6 +21,9 @@
     std::int64_t blockContentBytes = 16384; ///< Assumed size of a cached block until a store reports.
 
     void registerSettings(settings::settings_reader& reader);
+
+    /// Registers the settings of these sections alone, for the reference.
+    void registerOwnSettings(settings::settings_reader& reader);
 };
 
 } // namespace marigold::entry
--- a/src/libs/node/command_line.cpp
+++ b/src/libs/node/command_line.cpp
@@ -1,5 +1,7 @@
 #include "command_line.h"
 
+#include <algorithm>
+
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
@@ -11,6 +13,13 @@
 constexpr int exitSettings = 1;
 constexpr int exitUsage = 2;
 
+std::size_t changedSettings(const settings::settings_reader& reader)
+{
+    const auto states = reader.states();
+    return static_cast<std::size_t>(std::count_if(
+        states.begin(), states.end(), [](const auto& state) { return state.source != "default"; }));
+}
+
 } // namespace
 
 std::optional<int> readCommandLine(
@@ -44,14 +53,20 @@
             .environment = settings::systemEnvironment() };
         if (arguments.count("set"))
             sources.overrides = arguments["set"].as<std::vector<std::string>>();
+        const base::event_log log({ .process = program.name });
         if (const auto loaded = reader.load(sources); !loaded) {
             fmt::print(stderr, "{}\n", loaded.error().message);
+            log.write(settings::events::settingsRefused, { { "fault", loaded.error().field } });
             return exitSettings;
         }
+        for (const auto& variable : reader.ignoredVariables())
+            log.write(settings::events::variableIgnored, { { "variable", variable } });
         if (arguments.count("check-config")) {
             fmt::print("settings are correct\n");
             return exitDone;
         }
+        log.write(settings::events::settingsLoaded,
+            { { "file", sources.file }, { "changed", std::to_string(changedSettings(reader)) } });
     } catch (const cxxopts::exceptions::exception& problem) {
         fmt::print(stderr, "{}: {}\nTry --help.\n", program.name, problem.what());
         return exitUsage;
--- a/src/libs/settings/cluster_settings.cpp
+++ b/src/libs/settings/cluster_settings.cpp
@@ -10,8 +10,6 @@
         { .description = "Membership addresses of a few processes that are asked at the start.",
             .maximum = 32,
             .format = setting_format::Endpoint });
-    reader.add("cluster.membership_port", &membershipPort,
-        { .description = "UDP port of the membership protocol; 0 takes a free one, for tests." });
     reader.add("cluster.message_key", &messageKey,
         { .description = "Shared key that signs messages between processes.",
             .format = setting_format::MessageKey,
--- a/src/libs/settings/cluster_settings.h
+++ b/src/libs/settings/cluster_settings.h
@@ -11,7 +11,6 @@
 /// How a process finds and authenticates its peers; section `cluster`.
 struct cluster_settings {
     std::vector<std::string> seedPeers = {}; ///< IP:PORT of the membership protocol.
-    std::uint16_t membershipPort = 7946; ///< UDP.
     std::string messageKey = {}; ///< ID:SECRET; signs and verifies. Required.
     std::string previousMessageKey = {}; ///< ID:SECRET; verifies only, while the key is rotated.
 
--- a/src/libs/settings/process_settings.cpp
+++ b/src/libs/settings/process_settings.cpp
@@ -19,7 +19,7 @@
             .format = setting_format::IpAddress,
             .required = true });
     reader.add("process.listen_port", &listenPort,
-        { .description = "TCP port of the HTTP interfaces; 0 takes a free one, for tests." });
+        { .description = "Port for the other processes: TCP for calls, UDP for membership." });
     reader.add("process.advertised_address", &advertisedAddress,
         { .description = "Address that other processes use; `process.listen_address` when empty.",
             .format = setting_format::IpAddress });
--- a/tests/libs/settings/reference_test.cpp
+++ b/tests/libs/settings/reference_test.cpp
@@ -1,3 +1,5 @@
+#include <agent/agent_settings.h>
+#include <entry/entry_settings.h>
 #include <settings/settings.h>
 
 #include <doctest/doctest.h>
@@ -19,10 +21,14 @@
     settings::cluster_settings cluster;
     settings::kv_settings kv;
     settings::tls_settings tls;
+    entry::entry_settings entry;
+    agent::agent_settings agent;
     process.registerSettings(reader);
     cluster.registerSettings(reader);
     kv.registerSettings(reader);
     tls.registerSettings(reader);
+    entry.registerOwnSettings(reader);
+    agent.registerOwnSettings(reader);
     return "# Settings\n\n"
            "A process reads its settings at the start. A value is taken from the default, the TOML file, "
            "the\n"
