--- a/bench/support/demo.py
+++ b/bench/support/demo.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import signal
 import sys
 import threading
 import time
@@ -150,12 +151,33 @@
             self.counters()
 
 
+def serve(shape, seed):
+    """Starts a deployment and keeps it until it is interrupted, for first steps by hand."""
+    deployment = Deployment(shape, engines=6, seed=seed)
+    with deployment:
+        print("# the deployment runs until this command is interrupted; in another shell:")
+        print(f"export PATH={deployment.binary_folder()}:$PATH")
+        print(f"export MARIGOLD_OPERATOR_KEY={deployment.operator_key}")
+        print(f"export TEAM_KEY={deployment.team_keys['alpha']}")
+        for name in deployment.entries:
+            print(f"export {name.replace('-', '_').upper()}=http://127.0.0.1:{deployment.ports[f'{name}-public']}")
+        sys.stdout.flush()
+        stopped = threading.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, lambda *_: stopped.set())
+        stopped.wait()
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--prompts", type=int, default=36)
     parser.add_argument("--shape", choices=["bergvik", "kodakivi"])
+    parser.add_argument("--serve", action="store_true", help="start a deployment and keep it running")
     options = parser.parse_args()
+    if options.serve:
+        serve(options.shape or "bergvik", options.seed)
+        return 0
     broken = []
     for shape in [options.shape] if options.shape else ["bergvik", "kodakivi"]:
         demo = Demo(shape, options.prompts, options.seed)
--- a/src/libs/control/domain_exchange.h
+++ b/src/libs/control/domain_exchange.h
@@ -12,8 +12,8 @@
 class domain_exchange {
 public:
     struct options {
-        base::duration sameRegion = std::chrono::seconds(2);
-        base::duration otherRegion = std::chrono::seconds(10);
+        base::duration sameRegion = std::chrono::milliseconds(2500);
+        base::duration otherRegion = std::chrono::seconds(15);
         int missedDigests = 3; ///< After this many intervals without a digest, a domain is unreachable.
         base::duration resend
             = std::chrono::minutes(10); ///< All records are sent again, against lost gossip.
--- a/src/libs/entry/admin_api.cpp
+++ b/src/libs/entry/admin_api.cpp
@@ -39,6 +39,25 @@
     return json::array({ { { "op", "add" }, { "path", path }, { "value", std::move(value) } } });
 }
 
+/// Processes that one question about a version asks at most; the rest is reported as membership knows it.
+constexpr std::size_t maxAskedProcesses = 64;
+
+/// Answer about a version, while the processes that seem behind are asked.
+struct in_force_answer {
+    std::uint64_t version = 0;
+    std::size_t total = 0;
+    std::size_t waiting = 0;
+    std::vector<std::string> behind;
+
+    void reply(const node::exchange_ptr& exchange) const
+    {
+        node::replyJson(exchange, 200,
+            json { { "version", version }, { "in_force", total - behind.size() }, { "total", total },
+                { "behind", behind } }
+                .dump());
+    }
+};
+
 } // namespace
 
 void admin_api::add(node::http_router& router, std::string method, std::string path,
@@ -283,19 +302,31 @@
                                 : base::result<std::uint64_t>(m_services.node.config().version());
     if (!version)
         return node::replyError(exchange, version.error());
-    json behind = json::array();
-    std::size_t total = 0;
+    // What membership tells of versions is some seconds old; those that seem behind are asked.
+    const auto report = std::make_shared<in_force_answer>();
+    report->version = *version;
+    std::vector<std::string> asked;
     for (const auto& [id, tracked] : m_services.node.membership().table().all()) {
         if (tracked.info.state == control::member_state::Dead)
             continue;
-        ++total;
+        ++report->total;
         if (tracked.info.configVersion < *version && id != m_services.node.membership().self().id)
-            behind.push_back(id);
+            asked.push_back(id);
     }
-    node::replyJson(exchange, 200,
-        json { { "version", *version }, { "in_force", total - behind.size() }, { "total", total },
-            { "behind", behind } }
-            .dump());
+    report->waiting = std::min(asked.size(), maxAskedProcesses);
+    report->behind.assign(asked.begin() + static_cast<std::ptrdiff_t>(report->waiting), asked.end());
+    if (report->waiting == 0)
+        return report->reply(exchange);
+    asked.resize(report->waiting);
+    for (const auto& id : asked)
+        m_services.node.peers().call(
+            id, "config.version", "{}", [report, exchange, id](const base::result<std::string>& answer) {
+                const auto present = answer ? numberOf(*answer, "version") : base::result<std::uint64_t>(0);
+                if (!present || *present < report->version)
+                    report->behind.push_back(id);
+                if (--report->waiting == 0)
+                    report->reply(exchange);
+            });
 }
 
 void admin_api::setDomain(const node::exchange_ptr& exchange, const operate::operator_identity& who)
--- a/src/libs/entry/entry_settings.cpp
+++ b/src/libs/entry/entry_settings.cpp
@@ -14,6 +14,9 @@
         { .description = "Address for callers and operators.",
             .format = settings::setting_format::IpAddress });
     reader.add("entry.public_port", &publicPort, { .description = "TCP port for callers and operators." });
+    reader.add("entry.first_config_file", &firstConfigFile,
+        { .description = "JSON document that becomes version 1 when the configuration log is empty; ignored "
+                         "otherwise." });
     reader.add("entry.max_body_bytes", &maxBodyBytes,
         { .description = "Longest request body.", .unit = "B", .minimum = 1024, .maximum = 1 << 30 });
     reader.add("entry.block_bytes", &blockBytes,
--- a/src/libs/entry/entry_settings.h
+++ b/src/libs/entry/entry_settings.h
@@ -12,6 +12,7 @@
     node::node_settings node;
     std::string publicAddress = "127.0.0.1";
     std::uint16_t publicPort = 8000; ///< Callers and operators; `process.listen_port` is for the fleet.
+    std::string firstConfigFile = {}; ///< JSON document for a fleet whose configuration log is empty.
     std::int64_t maxBodyBytes = 8 << 20;
     std::int32_t blockBytes = 4096; ///< Prompt bytes of one cached block; the same in the whole fleet.
     std::int64_t hintBytes = 16 << 20;
--- a/src/libs/entry/events.h
+++ b/src/libs/entry/events.h
@@ -25,6 +25,13 @@
     = "An operator asked for a change of the configuration; fields: operator, base, outcome, change_id.",
     .action = "" };
 
-inline constexpr std::array allEvents { requestFailed, attemptFailed, configChanged };
+inline constexpr base::event_definition firstConfig { .id = "MB-1804",
+    .level = base::log_level::Info,
+    .name = "first_config_proposed",
+    .meaning
+    = "The configuration log was empty and the first document was proposed; fields: outcome, message, field.",
+    .action = "" };
+
+inline constexpr std::array allEvents { requestFailed, attemptFailed, configChanged, firstConfig };
 
 } // namespace marigold::entry::events
--- a/src/libs/entry/fleet_entry.cpp
+++ b/src/libs/entry/fleet_entry.cpp
@@ -1,5 +1,7 @@
 #include "fleet_entry.h"
 
+#include "first_config.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -83,6 +85,7 @@
 
 void fleet_entry::configChanged(const control::config_content& content)
 {
+    proposeFirstConfig(m_node, m_settings.firstConfigFile);
     m_services.targets.configChanged(content);
     for (const auto& [name, team] : content.teams)
         m_services.gate.setWeight(name, team.weight);
--- a/src/libs/entry/target_directory.cpp
+++ b/src/libs/entry/target_directory.cpp
@@ -34,13 +34,27 @@
     return routing::target_state::Leaving;
 }
 
+/// Ejections are limited to half of a group. A failure domain may have a single target of a plain service, so
+/// that the targets of one service in a region form a group; those of other kinds do so by failure domain.
+std::string ejectionGroup(const control::target& target)
+{
+    if (target.kind == control::target_kind::Service)
+        return target.region + "/" + target.service;
+    return target.failureDomain + "/" + target.model;
+}
+
+/// An ejected target is probed at least this often, so that it is not missed for minutes after it has
+/// recovered.
+constexpr auto longestEjection = std::chrono::seconds(30);
+
 } // namespace
 
 target_directory::target_directory(node::fleet_node& node)
     : m_node(node)
     , m_table({ .failureDomain = node.settings().process.failureDomain,
           .region = node.settings().process.region })
-    , m_detector({ .changed
+    , m_detector({ .longestEjection = longestEjection,
+          .changed
           = [this](routing::target_index target, bool ejected) { m_table.setEjected(target, ejected); },
           .log = &node.log() })
 {
@@ -79,7 +93,7 @@
         const auto drained = content.drainedTargets.find(id);
         m_table.setTakenOut(index, drained != content.drainedTargets.end() && drained->second);
         if (isNew)
-            m_detector.add(index, target.failureDomain);
+            m_detector.add(index, ejectionGroup(target));
     }
     std::vector<std::string> excluded;
     for (const auto& [name, domain] : content.failureDomains)
--- a/src/libs/node/fleet_node.cpp
+++ b/src/libs/node/fleet_node.cpp
@@ -262,6 +262,8 @@
     }));
     rpc.add(
         "config.pull", [this](std::string_view argument) { return peer_link::answerPull(config, argument); });
+    rpc.add("config.version",
+        [this](std::string_view) -> base::result<std::string> { return std::to_string(config.version()); });
     rpc.add("process.dump", [this](std::string_view) -> base::result<std::string> { return dump.render(); });
 }
 
--- a/src/programs/ctl/fleet_commands.cpp
+++ b/src/programs/ctl/fleet_commands.cpp
@@ -43,6 +43,23 @@
     return current.read("/admin/dump?process=" + escapePath(current.argument(0)));
 }
 
+/// Renders an explanation with a line for each candidate of each decision.
+std::string renderExplanation(const json& document)
+{
+    json rest = document;
+    json rows = json::array();
+    for (const auto& decision : document.value("decisions", json::array()))
+        for (const auto& candidate : decision.value("candidates", json::array())) {
+            json row = candidate;
+            row["at_ms"] = decision.value("at_ms", 0.0);
+            row["chosen"] = candidate.value("target", "") == decision.value("chosen", "") ? "yes" : "";
+            rows.push_back(std::move(row));
+        }
+    rest.erase("decisions");
+    return renderDocument(rest) + "\ncandidates:\n"
+        + renderObjects(rows, { "at_ms", "target", "chosen", "cost_ms", "reason" });
+}
+
 std::string renderTargets(const json& document)
 {
     return renderObjects(document.at("targets"), { "id", "domain", "kind", "state", "load" });
@@ -104,7 +121,7 @@
         .summary = "Show the candidates, decisions and attempts of a request.",
         .example = "marigoldctl explain 0191d3a4-7c1e-7b60-8f00-1c2d3e4f5a6b",
         .run = runExplain,
-        .render = renderDocument });
+        .render = renderExplanation });
     commands.push_back({ .words = { "dump" },
         .parameters = { "PROCESS" },
         .summary = "Show the state of all modules of a process.",
--- a/src/programs/ctl/session.cpp
+++ b/src/programs/ctl/session.cpp
@@ -124,8 +124,9 @@
     const auto base = baseVersion();
     if (!base)
         return tl::unexpected(base.error());
+    // The id begins with the version that the change would make, so that any entry finds it in the log.
     const std::string changeId = m_options.changeId.empty()
-        ? operate::makeUuidV7(base::system_clock().wallNow())
+        ? fmt::format("{}-{}", *base + 1, operate::makeUuidV7(base::system_clock().wallNow()))
         : m_options.changeId;
     body["base"] = *base;
     body["change_id"] = changeId;
