Count key-value calls, control bytes and time between tokens

Cause: the metrics existed and nothing recorded them.

Change: the key-value adapter reports each call, the process frame the bytes of membership and configuration, the entry the time between tokens; /metrics is served to operators on the public port.

--- a/src/libs/entry/admin_api.cpp
+++ b/src/libs/entry/admin_api.cpp
@@ -97,6 +97,7 @@
     add(router, "POST", "/admin/teams/", right::Dangerous, &admin_api::changeTeam);
     add(router, "GET", "/admin/status", right::Read, &admin_api::status);
     add(router, "GET", "/admin/explain/", right::Read, &admin_api::explain);
+    add(router, "GET", "/metrics", right::Read, &admin_api::metrics);
     add(router, "GET", "/admin/dump", right::Read, &admin_api::dump);
 }
 
@@ -414,6 +415,12 @@
     node::replyJson(exchange, 200, *record);
 }
 
+void admin_api::metrics(const node::exchange_ptr& exchange, const operate::operator_identity&)
+{
+    exchange->reply({ .headers = { { "Content-Type", "text/plain; version=0.0.4" } },
+        .body = m_services.node.metrics().exposition() });
+}
+
 void admin_api::dump(const node::exchange_ptr& exchange, const operate::operator_identity&)
 {
     const auto process = exchange->query("process");
--- a/src/libs/entry/admin_api.h
+++ b/src/libs/entry/admin_api.h
@@ -39,6 +39,7 @@
     void changeTeam(const node::exchange_ptr& exchange, const operate::operator_identity& who);
     void status(const node::exchange_ptr& exchange, const operate::operator_identity& who);
     void explain(const node::exchange_ptr& exchange, const operate::operator_identity& who);
+    void metrics(const node::exchange_ptr& exchange, const operate::operator_identity& who);
     void dump(const node::exchange_ptr& exchange, const operate::operator_identity& who);
 
     /// Proposes \a change and answers with its outcome; \a extra is merged into an accepted answer.
--- a/src/libs/entry/completion_session.h
+++ b/src/libs/entry/completion_session.h
@@ -79,6 +79,7 @@
     net::event_stream_decoder m_decoder;
     std::optional<base::error> m_streamError;
     base::time_point m_lastPiece {};
+    base::time_point m_lastDelivery {};
     base::timer_id m_stallTimer = 0;
 };
 
--- a/src/libs/entry/completion_session_stream.cpp
+++ b/src/libs/entry/completion_session_stream.cpp
@@ -124,6 +124,9 @@
         const base::time_point now = m_services.node.clock().now();
         if (piece.sequence == 1)
             m_services.node.metrics().timeToFirstToken(m_request.caller.team, now - m_request.caller.arrival);
+        else if (!piece.end)
+            m_services.node.metrics().interTokenTime(now - m_lastDelivery);
+        m_lastDelivery = now;
         m_writer->piece(piece, eventId(piece.sequence));
         if (piece.end) {
             m_services.node.metrics().promptTokens(m_request.caller.team, piece.end->usage.promptTokens,
--- a/src/libs/node/fleet_node.cpp
+++ b/src/libs/node/fleet_node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -88,8 +89,8 @@
     base::random_source random = base::random_source::fromSystem();
     base::event_log log;
     net::http_client client { loop };
-    platform::http_kv_store store;
     operate::metrics metrics { clock };
+    platform::http_kv_store store;
     operate::state_dump dump;
     operate::access_control access;
     operate::message_auth authenticator;
@@ -109,6 +110,9 @@
     std::vector<std::string> knownTeams;
     std::vector<std::string> knownOperators;
     int exitCode = 0;
+    std::uint64_t countedSent = 0; ///< Control bytes that the metrics contain.
+    std::uint64_t countedReceived = 0;
+    std::uint64_t countedPulled = 0;
     base::time_point startedAt { clock.now() };
 
     explicit private_data(options given);
@@ -121,6 +125,7 @@
     std::vector<std::string> livePeers() const;
     void addCommonRoutes();
     void addDumpSections();
+    void countControlBytes();
     void shutdownDone(const outcome::drain_report& report);
 };
 
@@ -129,7 +134,12 @@
     , log(opts.settings.process.logOptions())
     , store(client,
           { .service = net::endpoint::parse(opts.settings.kv.endpoint).value_or(net::endpoint {}),
-              .timeout = opts.settings.kv.callTimeout })
+              .timeout = opts.settings.kv.callTimeout,
+              .onCall =
+                  [this](platform::http_kv_store::call_kind kind, std::optional<base::error_reason> reason) {
+                      // Both enumerations list the same kinds in the same order.
+                      metrics.kvCall(static_cast<operate::kv_operation>(kind), reason);
+                  } })
     , dump({ .process = opts.settings.process.id, .log = &log }, clock)
     , access(clock, &log)
     , authenticator({ .current = keyFrom(opts.settings.cluster.messageKey),
@@ -297,6 +307,20 @@
     });
 }
 
+void fleet_node::private_data::countControlBytes()
+{
+    const auto& traffic = membership.traffic();
+    using channel = operate::control_channel;
+    using direction = operate::byte_direction;
+    metrics.controlBytes(channel::Membership, direction::Sent,
+        traffic.sentBytes - std::exchange(countedSent, traffic.sentBytes));
+    metrics.controlBytes(channel::Membership, direction::Received,
+        traffic.receivedBytes - std::exchange(countedReceived, traffic.receivedBytes));
+    const std::uint64_t pulled = peers.configurationBytes();
+    metrics.controlBytes(
+        channel::Configuration, direction::Received, pulled - std::exchange(countedPulled, pulled));
+}
+
 void fleet_node::private_data::shutdownDone(const outcome::drain_report& report)
 {
     log.write(events::processStopped,
@@ -335,7 +359,10 @@
     d->membership.join(d->opts.settings.cluster.seedPeers);
     d->config.start(d->opts.settings.cluster.seedPeers);
     d->loop.runEvery(membershipTick, [this] { d->membership.tick(); });
-    d->loop.runEvery(watcherCheck, [this] { d->updateWatcher(); });
+    d->loop.runEvery(watcherCheck, [this] {
+        d->updateWatcher();
+        d->countControlBytes();
+    });
     d->updateWatcher();
     return {};
 }
--- a/src/libs/platform/http_kv_store.cpp
+++ b/src/libs/platform/http_kv_store.cpp
@@ -60,23 +60,34 @@
     options opts;
     call_counts counts;
 
+    void count(call_kind kind, std::optional<base::error_reason> reason) const
+    {
+        if (opts.onCall)
+            opts.onCall(kind, reason);
+    }
+
     /// Sends \a call and passes the parsed body of a good answer to \a parse, whose result goes to \a done.
     template <typename T, typename Parse>
-    void send(net::http_call call, bool isWrite, callback<T> done, Parse parse)
+    void send(net::http_call call, call_kind kind, callback<T> done, Parse parse)
     {
+        const bool isWrite = kind == call_kind::Put || kind == call_kind::Remove || kind == call_kind::Lease;
         ++(isWrite ? counts.writes : counts.reads);
         call.to = opts.service;
         if (call.timeout == base::duration::zero())
             call.timeout = opts.timeout;
         client.send(std::move(call),
-            [this, done = std::move(done), parse = std::move(parse)](
+            [this, kind, done = std::move(done), parse = std::move(parse)](
                 base::result<net::http_response> answer) {
                 if (!answer) {
                     ++counts.failures;
+                    count(kind, answer.error().reason);
                     return done(tl::unexpected(answer.error()));
                 }
-                if (answer->status != 200)
-                    return done(tl::unexpected(refusal(*answer)));
+                if (answer->status != 200) {
+                    const base::error problem = refusal(*answer);
+                    count(kind, problem.reason);
+                    return done(tl::unexpected(problem));
+                }
                 base::result<T> outcome = base::mayHaveRun(
                     base::error_reason::Internal, "the key-value service sent a broken answer");
                 try {
@@ -84,6 +95,7 @@
                 } catch (const nlohmann::json::exception&) {
                     ++counts.failures;
                 }
+                count(kind, outcome ? std::nullopt : std::optional(outcome.error().reason));
                 done(std::move(outcome));
             });
     }
@@ -105,7 +117,8 @@
             return done(std::optional<kv_entry>());
         done(tl::unexpected(found.error()));
     };
-    d->send<kv_entry>({ .target = fmt::format("/v1/kv/{}", key), .timeout = {} }, false, mapped, entryOf);
+    d->send<kv_entry>(
+        { .target = fmt::format("/v1/kv/{}", key), .timeout = {} }, call_kind::Get, mapped, entryOf);
 }
 
 void http_kv_store::put(kv_write write, callback<std::uint64_t> done)
@@ -119,7 +132,7 @@
                                .target = fmt::format("/v1/kv/{}", write.key),
                                .body = body.dump(),
                                .timeout = {} },
-        true, std::move(done),
+        call_kind::Put, std::move(done),
         [](const nlohmann::json& answer) { return answer.at("revision").get<std::uint64_t>(); });
 }
 
@@ -128,7 +141,7 @@
     d->send<void>({ .method = "DELETE",
                       .target = fmt::format("/v1/kv/{}?expected_revision={}", key, expectedRevision),
                       .timeout = {} },
-        true, std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
+        call_kind::Remove, std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
 }
 
 void http_kv_store::range(
@@ -136,7 +149,7 @@
 {
     const std::string target = fmt::format(
         "/v1/range?prefix={}&after={}&limit={}", encodeQuery(prefix), encodeQuery(after), limit);
-    d->send<std::vector<kv_entry>>({ .target = target, .timeout = {} }, false, std::move(done),
+    d->send<std::vector<kv_entry>>({ .target = target, .timeout = {} }, call_kind::Range, std::move(done),
         [](const nlohmann::json& answer) { return entriesOf(answer.at("entries")); });
 }
 
@@ -147,20 +160,20 @@
                                .target = "/v1/lease",
                                .body = nlohmann::json { { "ttl_ms", milliseconds } }.dump(),
                                .timeout = {} },
-        true, std::move(done),
+        call_kind::Lease, std::move(done),
         [](const nlohmann::json& answer) { return answer.at("lease").get<std::uint64_t>(); });
 }
 
 void http_kv_store::keepAlive(std::uint64_t lease, callback<void> done)
 {
     d->send<void>({ .method = "POST", .target = fmt::format("/v1/lease/{}/keepalive", lease), .timeout = {} },
-        true, std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
+        call_kind::Lease, std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
 }
 
 void http_kv_store::revokeLease(std::uint64_t lease, callback<void> done)
 {
-    d->send<void>({ .method = "DELETE", .target = fmt::format("/v1/lease/{}", lease), .timeout = {} }, true,
-        std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
+    d->send<void>({ .method = "DELETE", .target = fmt::format("/v1/lease/{}", lease), .timeout = {} },
+        call_kind::Lease, std::move(done), [](const nlohmann::json&) { return base::result<void>(); });
 }
 
 void http_kv_store::watch(std::string_view prefix, std::uint64_t afterRevision, base::duration patience,
@@ -169,7 +182,7 @@
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
     const std::string target = fmt::format(
         "/v1/watch?prefix={}&after={}&wait_ms={}", encodeQuery(prefix), afterRevision, milliseconds);
-    d->send<kv_watch_batch>({ .target = target, .timeout = d->opts.timeout + patience }, false,
+    d->send<kv_watch_batch>({ .target = target, .timeout = d->opts.timeout + patience }, call_kind::Watch,
         std::move(done), [](const nlohmann::json& answer) {
             return kv_watch_batch { .changes = entriesOf(answer.at("changes")),
                 .revision = answer.at("revision").get<std::uint64_t>() };
--- a/src/libs/platform/http_kv_store.h
+++ b/src/libs/platform/http_kv_store.h
@@ -11,9 +11,21 @@
 /// The key-value service over its HTTP interface.
 class http_kv_store final : public kv_store {
 public:
+    /// Kind of a call, for counting.
+    enum class call_kind {
+        Get,
+        Put,
+        Remove,
+        Range,
+        Lease,
+        Watch,
+    };
+
     struct options {
         net::endpoint service;
         base::duration timeout = std::chrono::seconds(1); ///< For one call; a watch adds its patience.
+        /// Called after each call; the reason is empty if it succeeded.
+        std::function<void(call_kind, std::optional<base::error_reason>)> onCall = {};
     };
 
     /// Calls made since the start, as the service counts them.
