--- a/src/libs/node/fleet_node.cpp
+++ b/src/libs/node/fleet_node.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto membershipTick = std::chrono::milliseconds(100);
+constexpr auto vmListInterval = std::chrono::seconds(2);
 constexpr auto watcherCheck = std::chrono::seconds(1);
 
 /// Time after which a process that reached no peer acts as if it were alone.
@@ -109,6 +110,9 @@
     std::vector<std::function<void(const control::member&)>> memberHandlers;
     std::vector<std::string> knownTeams;
     std::vector<std::string> knownOperators;
+    std::optional<platform::http_vm_list> vmList;
+    bool isWatcher
+        = false; ///< It watches the configuration log and reads the VM list for its failure domain.
     int exitCode = 0;
     std::uint64_t countedSent = 0; ///< Control bytes that the metrics contain.
     std::uint64_t countedReceived = 0;
@@ -122,6 +126,7 @@
     std::vector<operate::key_record> recordsFrom(
         std::string_view holder, const std::vector<std::string>& texts) const;
     void updateWatcher();
+    void readVmList();
     std::vector<std::string> livePeers() const;
     void addCommonRoutes();
     void addDumpSections();
@@ -163,6 +168,8 @@
         membership.leave();
         done();
     });
+    if (const auto service = net::endpoint::parse(opts.settings.cluster.vmList))
+        vmList.emplace(client, *service);
     config.setListener([this](const control::config_state& state) { configChanged(state); });
     membership.setListener({
         .changed =
@@ -251,9 +258,21 @@
         entries.push_back(self);
     // In a domain without entries, two agents watch.
     const bool isCandidate = entries.empty() || opts.kind == control::member_kind::Entry;
-    config.setWatcher(isCandidate
+    isWatcher = isCandidate
         && control::config_replica::isWatcher(
-            self, entries.empty() ? all : entries, opts.settings.process.failureDomain));
+            self, entries.empty() ? all : entries, opts.settings.process.failureDomain);
+    config.setWatcher(isWatcher);
+}
+
+void fleet_node::private_data::readVmList()
+{
+    // Two processes of each failure domain read it; what they learn spreads with membership.
+    if (!vmList || !isWatcher)
+        return;
+    vmList->read([this](const base::result<std::vector<platform::listed_vm>>& list) {
+        if (list)
+            membership.mergeVmList(*list);
+    });
 }
 
 void fleet_node::private_data::addCommonRoutes()
@@ -359,6 +378,7 @@
     d->membership.join(d->opts.settings.cluster.seedPeers);
     d->config.start(d->opts.settings.cluster.seedPeers);
     d->loop.runEvery(membershipTick, [this] { d->membership.tick(); });
+    d->loop.runEvery(vmListInterval, [this] { d->readVmList(); });
     d->loop.runEvery(watcherCheck, [this] {
         d->updateWatcher();
         d->countControlBytes();
--- a/src/libs/settings/cluster_settings.cpp
+++ b/src/libs/settings/cluster_settings.cpp
@@ -10,6 +10,9 @@
         { .description = "Membership addresses of a few processes that are asked at the start.",
             .maximum = 32,
             .format = setting_format::Endpoint });
+    reader.add("cluster.vm_list", &vmList,
+        { .description = "Address of the platform's VM list; not read when empty.",
+            .format = setting_format::HttpUrl });
     reader.add("cluster.message_key", &messageKey,
         { .description = "Shared key that signs messages between processes.",
             .format = setting_format::MessageKey,
