Stop admission before a weight swap and choose the version again after a refusal

One engine was overloaded after its swap, since the ramp did not know that new weights leave it cold.

Change: the agent stops admission one check before it sends the order and restarts the ramp when the version has changed; a request that waits for a target looks up version and context again. The fault measurement prints what each call of a suspicious order was answered.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -34,7 +34,8 @@
         self.succeeded = 0
         self.without_outcome = []
         self.cut_or_mixed = []
-        self.not_run = {}  # order id -> case
+        self.not_run = {}  # order id -> cases
+        self.history = {}  # order id -> what each of its calls was answered
         self.orders = {}
 
     def add(self, succeeded):
@@ -111,9 +112,11 @@
         for attempt in range(4):
             try:
                 status, _, body = request(self.public(index + attempt), "POST", "/services/orders/orders", {"order_id": order_id}, headers, timeout=8)
-            except (OSError, http.client.HTTPException):
+            except (OSError, http.client.HTTPException) as problem:
+                self.tally.history.setdefault(order_id, []).append(f"connection lost ({type(problem).__name__})")
                 time.sleep(0.2)
                 continue
+            self.tally.history.setdefault(order_id, []).append(f"{status} {body[:200].decode(errors='replace')}")
             if status < 300:
                 verdict = "answered"
                 break
@@ -332,6 +335,8 @@
         time.sleep(1.5)
         twice, false_not_run, lost, corrupt = bench.judge()
     tally = bench.tally
+    for order_id in twice + false_not_run:
+        print(f"  {order_id} in {tally.not_run.get(order_id)}: {tally.history.get(order_id)}")
     for label, items in (("run twice", twice), ("not_run that had run", false_not_run), ("answered but never run", lost),
                          ("cut or mixed", tally.cut_or_mixed), ("without outcome", tally.without_outcome)):
         for item in items[:5]:
--- a/src/libs/agent/engine_role.cpp
+++ b/src/libs/agent/engine_role.cpp
@@ -48,6 +48,7 @@
     control::rollout rollout;
     platform::engine_state state;
     int failedPolls = 0;
+    bool swapping = false; ///< No new runs, because the weights are about to be swapped.
     std::map<std::string, outcome::drain::work_id> drainWork;
 
     private_data(node::fleet_node& node, work_gate& gate, const agent_settings& settings);
@@ -129,9 +130,14 @@
     const auto weights = content.weightStores.find(settings.weightStore);
     const std::uint64_t bound = weights == content.weightStores.end() ? 1 : weights->second.concurrentLoads;
     control::engine_goal goal { .model = self->model, .version = {}, .role = {}, .adapters = {} };
-    if (!state.version.empty() && state.version != model->second.wantedVersion
-        && rollout.maySwap(content, node.settings().process.id, node.membership()))
+    const bool wantsSwap = runner && !state.version.empty() && state.version != model->second.wantedVersion
+        && (state.loading || rollout.maySwap(content, node.settings().process.id, node.membership()));
+    // The order goes out one check after admission has stopped, when runs that were on their way have begun.
+    if (wantsSwap && swapping)
         goal.version = model->second.wantedVersion;
+    swapping = wantsSwap;
+    if (runner)
+        runner->setSwapping(swapping);
     for (const auto& [name, adapter] : model->second.adapters)
         goal.adapters.push_back(name);
     orders.want(std::move(goal), bound);
--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -41,6 +41,7 @@
     routing::work_id nextWork = 1;
     platform::engine_state engineState;
     bool engineKnown = false;
+    bool isSwapping = false;
     std::function<void(const std::string&)> ended;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -103,6 +104,8 @@
 {
     if (!engineKnown)
         return base::notRun(base::error_reason::Unavailable, "the engine has not reported yet");
+    if (isSwapping)
+        return base::notRun(base::error_reason::Unavailable, "the engine swaps its weights", "version");
     if (request.model != engineState.model)
         return base::notRun(base::error_reason::NotFound, "the engine serves another model", "model");
     if (request.version != engineState.version || engineState.loading)
@@ -350,8 +353,18 @@
 
 engine_runner::~engine_runner() = default;
 
+void engine_runner::setSwapping(bool swapping)
+{
+    d->isSwapping = swapping;
+}
+
 void engine_runner::engineReported(const platform::engine_state& state, base::time_point measuredAt)
 {
+    // New weights leave an engine cold.
+    if (d->engineKnown && state.version != d->engineState.version) {
+        d->ramp.restart();
+        d->admission.setBound(d->ramp.bound());
+    }
     d->engineState = state;
     d->engineKnown = true;
     d->admission.engineReported(state.running, measuredAt);
--- a/src/libs/agent/engine_runner.h
+++ b/src/libs/agent/engine_runner.h
@@ -42,6 +42,10 @@
     /// The engine did not answer; it may be cold when it comes back.
     void engineLost();
 
+    /// Refuses new runs while weights are swapped. It starts before the order is sent: a run that reaches the
+    /// engine during the load would start under the other version.
+    void setSwapping(bool swapping);
+
     /// Starts a run, or refuses it with a verdict; \a reader hears everything that follows.
     void submit(const protocol::run_request& request, std::shared_ptr<run_reader> reader);
 
--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -96,6 +96,7 @@
                 return self->finish(admitted.error());
             }
             self->m_isAdmitted = true;
+            self->m_services.retryBudget.addRequest();
             // The caller may have gone while the request waited.
             if (self->m_isDone)
                 return self->finish({});
@@ -105,11 +106,12 @@
 
 void completion_session::prepare()
 {
+    if (m_isDone)
+        return;
     const auto& content = m_services.node.config().current()->document.content();
     const auto firstBlock = std::string_view(m_request.prompt)
                                 .substr(0, static_cast<std::size_t>(m_services.settings.blockBytes));
     m_version = m_services.targets.versionFor(content, m_request.model, base::hash64(firstBlock));
-    m_services.retryBudget.addRequest();
     const context::block_scope scope { .teamSecret = m_blockSecret,
         .model = m_request.model,
         .weightVersion = m_version,
@@ -353,7 +355,8 @@
         = std::chrono::milliseconds(m_services.node.random().below(static_cast<std::uint64_t>(wait.count())));
     if (++m_waits > maxWaits || wait + jitter >= remaining())
         return finish(m_attempt ? m_tally.finalError() : problem);
-    m_services.node.loop().runAfter(wait + jitter, [self = shared_from_this()] { self->routeNext(); });
+    // Weights may have been swapped meanwhile, so that version and context are looked up again.
+    m_services.node.loop().runAfter(wait + jitter, [self = shared_from_this()] { self->prepare(); });
 }
 
 void completion_session::complete()
--- a/tests/libs/agent/engine_runner_test.cpp
+++ b/tests/libs/agent/engine_runner_test.cpp
@@ -179,6 +179,28 @@
     CHECK(swapped->problem->verdict == base::verdict::Ran);
 }
 
+TEST_CASE("no run starts while weights are swapped, and the ramp starts again afterwards")
+{
+    // Guards against a run that begins under one weight version and is answered under another, and against
+    // full load on an engine that the swap has left cold (invariants I3 and I4).
+    runner_fixture fixture;
+    for (int i = 0; i < 8; ++i) {
+        fixture.submit(i);
+        fixture.engine.tokensUpTo(1);
+        fixture.clock.advance(std::chrono::milliseconds(10));
+        fixture.engine.endLatest(runner_fixture::end(1));
+    }
+    CHECK(fixture.runner.rampBound() == 4);
+    fixture.runner.setSwapping(true);
+    const auto refused = fixture.submit(20);
+    REQUIRE(refused->problem);
+    CHECK(refused->problem->verdict == base::verdict::NotRun);
+    fixture.runner.engineReported({ .model = "m", .version = "v2" }, fixture.clock.now());
+    CHECK(fixture.runner.rampBound() == 2);
+    fixture.runner.setSwapping(false);
+    CHECK(fixture.submit(21)->problem.has_value());
+}
+
 TEST_CASE("a reader that has gone may come back within the grace period, then the run is cancelled")
 {
     // Guards against runs for callers that left for good, and against the loss of a stream that moves to
