Let a target's own answer outweigh gossip about its weights

Change: gossip about weights is ignored for 10 s after an answer of the agent; refusals during a swap carry Retry-After.

--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -19,6 +19,9 @@
 /// (invariant I4).
 constexpr double warmFactor = 2.0;
 
+/// About the time that a weight swap takes; a caller that waits so long meets the new version.
+constexpr std::chrono::milliseconds swapTime { 400 };
+
 /// Engines honour higher numbers first, callers give 0 to the most urgent class.
 int enginePriority(int priority)
 {
@@ -105,12 +108,17 @@
     if (!engineKnown)
         return base::notRun(base::error_reason::Unavailable, "the engine has not reported yet");
     if (isSwapping)
-        return base::notRun(base::error_reason::Unavailable, "the engine swaps its weights", "version");
+        return tl::unexpected(base::error { .reason = base::error_reason::Unavailable,
+            .message = "the engine swaps its weights",
+            .field = "version",
+            .retryAfter = swapTime });
     if (request.model != engineState.model)
         return base::notRun(base::error_reason::NotFound, "the engine serves another model", "model");
     if (request.version != engineState.version || engineState.loading)
-        return base::notRun(
-            base::error_reason::Unavailable, "the engine serves another weight version", "version");
+        return tl::unexpected(base::error { .reason = base::error_reason::Unavailable,
+            .message = "the engine serves another weight version",
+            .field = "version",
+            .retryAfter = swapTime });
     return {};
 }
 
@@ -470,7 +478,7 @@
 {
     return { .running = d->admission.running(),
         .queued = d->admission.queued(),
-        .bound = d->engineKnown ? d->admission.bound() : 0,
+        .bound = d->engineKnown && !d->isSwapping ? d->admission.bound() : 0,
         .pendingPrefillTokens = d->admission.pendingPrefillTokens(),
         .prefillTokensPerSecond = d->opts.prefillTokensPerSecond,
         .serviceTime = d->admission.serviceTime(),
--- a/src/libs/entry/target_directory.cpp
+++ b/src/libs/entry/target_directory.cpp
@@ -47,6 +47,9 @@
 /// recovered.
 constexpr auto longestEjection = std::chrono::seconds(30);
 
+/// Loads spread by membership may be this old.
+constexpr auto gossipAge = std::chrono::seconds(10);
+
 } // namespace
 
 target_directory::target_directory(node::fleet_node& node)
@@ -87,8 +90,10 @@
             .kind = toRouting(target.kind),
             .model = target.kind == control::target_kind::Service ? target.service : target.model,
             .version = {} });
-        if (m_addresses.size() <= index)
+        if (m_addresses.size() <= index) {
             m_addresses.resize(index + 1);
+            m_reportedAt.resize(index + 1);
+        }
         m_addresses[index] = *address;
         const auto drained = content.drainedTargets.find(id);
         m_table.setTakenOut(index, drained != content.drainedTargets.end() && drained->second);
@@ -122,7 +127,9 @@
     for (const auto& [id, target] : m_targets) {
         const auto index = m_table.find(id);
         applyMember(index, target);
-        if (target.info.kind != control::target_kind::Engine || !current)
+        // A target's own answer is newer than what gossip says of its weights.
+        if (target.info.kind != control::target_kind::Engine || !current
+            || m_node.clock().now() - m_reportedAt[index] < gossipAge)
             continue;
         const auto* tracked = m_node.membership().table().find(target.info.address);
         const auto model = current->document.content().models.find(target.info.model);
@@ -143,6 +150,7 @@
     const auto load = protocol::agent_load::decode(loadText);
     if (!load)
         return;
+    m_reportedAt[target] = m_node.clock().now();
     m_table.report(target,
         { .running = load->running,
             .queued = load->queued,
--- a/src/libs/entry/target_directory.h
+++ b/src/libs/entry/target_directory.h
@@ -78,6 +78,7 @@
     routing::outlier_detector m_detector;
     std::map<std::string, entry, std::less<>> m_targets; ///< By id.
     std::vector<net::endpoint> m_addresses; ///< By index.
+    std::vector<base::time_point> m_reportedAt; ///< Last answer of the agent itself, by index.
 };
 
 } // namespace marigold::entry
