--- a/bench/control.py
+++ b/bench/control.py
@@ -35,7 +35,7 @@
 
 
 def traffic(deployment, name):
-    dump = json.loads(deployment.admin("GET", f"/admin/dump?process={name}")[2])
+    dump = json.loads(deployment.admin("GET", f"/admin/dump?process=127.0.0.1:{deployment.ports[name]}")[2])
     membership = dump["sections"]["membership"]
     return membership["sent_bytes"] + membership["received_bytes"]
 
