Keep the known weight version of a target when the configuration changes

Cause: scripts/demo in a fresh clone failed 16 and 14 requests with 'no target can take the request now' while a failure domain was out. Each change of the configuration set the version of every target to empty; since gossip is ignored for 10 s after an answer of the agent, nothing restored it.

--- a/src/libs/entry/target_directory.cpp
+++ b/src/libs/entry/target_directory.cpp
@@ -84,12 +84,14 @@
         if (!address)
             continue;
         m_targets[id] = { .info = target, .address = *address };
+        // A change of the configuration says nothing of the weights in an engine.
+        const auto known = m_table.find(id);
         const auto index = m_table.put({ .id = id,
             .failureDomain = target.failureDomain,
             .region = target.region,
             .kind = toRouting(target.kind),
             .model = target.kind == control::target_kind::Service ? target.service : target.model,
-            .version = {} });
+            .version = known == routing::noTarget ? std::string() : m_table.info(known).version });
         if (m_addresses.size() <= index) {
             m_addresses.resize(index + 1);
             m_reportedAt.resize(index + 1);
