Take ports of deployments below the range of outgoing connections

Cause: a run of bench/faults could not start an agent again ('Address already in use'): an outgoing connection of a demo beside it had been given the agent's port.

Change: ports are drawn from 20,000 to 32,000.

Conclusion: restarted processes find their port free.

--- a/bench/support/deployment.py
+++ b/bench/support/deployment.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -64,24 +65,22 @@
 
 
 def free_ports(count):
-    """Returns ports that are free for TCP and UDP at this moment."""
-    found = []
-    sockets = []
+    """Returns ports that are free for TCP and UDP at this moment.
+
+    They lie below the range from which the kernel takes the ports of outgoing connections, since one of those could
+    otherwise hold the port of a process that is started again.
+    """
+    found = set()
     while len(found) < count:
-        tcp = socket.socket()
-        tcp.bind((HOST, 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            udp.bind((HOST, port))
-        except OSError:
-            tcp.close()
-            continue
-        sockets += [tcp, udp]
-        found.append(port)
-    for item in sockets:
-        item.close()
-    return found
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((HOST, port))
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+        found.add(port)
+    return list(found)
 
 
 def request(port, method, path, body=None, headers=None, timeout=30):
