Define the bound on continued streams once

Cause: the split of the session left the constant in two files.

Change: it is a member of completion_session.

Figures: entry_test: 65 assertions pass.

Conclusion: no change of behaviour.

--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -18,7 +18,6 @@
 constexpr int maxWaits = 3;
 
 constexpr auto longestWait = std::chrono::milliseconds(500);
-constexpr int maxResumes = 4;
 constexpr auto resumeDelay = std::chrono::milliseconds(100);
 
 base::digest128 newId(base::random_source& random)
--- a/src/libs/entry/completion_session.h
+++ b/src/libs/entry/completion_session.h
@@ -20,6 +20,9 @@
     void start();
 
 private:
+    /// Continuations of a request's stream before it is given up.
+    static constexpr int maxResumes = 4;
+
     base::result<void> check();
     void prepare();
     void prepared(base::result<prompt_context> found);
--- a/src/libs/entry/completion_session_stream.cpp
+++ b/src/libs/entry/completion_session_stream.cpp
@@ -9,8 +9,6 @@
 /// A stream that is silent for this long is read again from the last piece: its agent may be paused.
 constexpr auto stallLimit = std::chrono::seconds(3);
 
-constexpr int maxResumes = 4;
-
 std::optional<outcome::answer_piece> toPiece(const protocol::run_piece& message)
 {
     const auto attempt = base::digest128FromHex(message.attempt);
