Move the mapping of priorities out of the runner

Change: enginePriority is with the other translations between callers and engines.

Conclusion: no change of behaviour.

--- a/src/libs/agent/engine_runner.cpp
+++ b/src/libs/agent/engine_runner.cpp
@@ -22,12 +22,6 @@
 /// About the time that a weight swap takes; a caller that waits so long meets the new version.
 constexpr std::chrono::milliseconds swapTime { 400 };
 
-/// Engines honour higher numbers first, callers give 0 to the most urgent class.
-int enginePriority(int priority)
-{
-    return 2 - priority;
-}
-
 } // namespace
 
 struct engine_runner::private_data {
--- a/src/libs/agent/run_piece_codec.cpp
+++ b/src/libs/agent/run_piece_codec.cpp
@@ -26,4 +26,9 @@
     return message;
 }
 
+int enginePriority(int priority)
+{
+    return 2 - priority;
+}
+
 } // namespace marigold::agent
