--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -3,7 +3,7 @@
 build=${MARIGOLD_BUILD:-$root/build}
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy libevent-dev libevhtp-dev libjsonrpccpp-dev
     prometheus-cpp-dev libexpected-dev libcxxopts-dev libfmt-dev libtomlplusplus-dev nlohmann-json3-dev
-    libssl-dev libxxhash-dev doctest-dev librapidcheck-dev curl python3)
+    libssl-dev libxxhash-dev libhttp-parser-dev doctest-dev librapidcheck-dev curl python3)
 
 install_packages() {
     if ! dpkg-query -W "${packages[@]}" >/dev/null 2>&1; then
--- a/src/libs/platform/kv_store.h
+++ b/src/libs/platform/kv_store.h
@@ -16,6 +16,7 @@
     std::string key;
     std::string value; ///< At most 1 MB.
     std::uint64_t revision = 0; ///< Global, grows with every write of the service.
+    std::uint64_t createdRevision = 0; ///< The write that created the key; 0 if the service does not tell.
 };
 
 /// One compare-and-swap.
@@ -31,6 +32,15 @@
 struct kv_watch_batch {
     std::vector<kv_entry> changes; ///< Writes only, in order of revision; empty after a quiet period.
     std::uint64_t revision = 0; ///< Where the next watch continues.
+    /// Keys that are absent now; empty if the service does not tell. A key that was deleted and written again
+    /// is among the changes only.
+    std::vector<std::string> removals = {};
+};
+
+/// All entries below a prefix.
+struct kv_snapshot {
+    std::vector<kv_entry> entries;
+    std::uint64_t revision = 0; ///< A watch from here misses no later write.
 };
 
 /// Port to the platform's key-value service.
@@ -58,6 +68,10 @@
         callback<std::vector<kv_entry>> done)
         = 0;
 
+    /// Reads all entries with \a prefix, in several calls where the service limits their number. The default
+    /// fails, for services whose reads do not tell their revision.
+    virtual void snapshot(std::string_view prefix, callback<kv_snapshot> done);
+
     /// Grants a lease that ends \a timeToLive after its last keep-alive; the result is its id.
     virtual void grantLease(base::duration timeToLive, callback<std::uint64_t> done) = 0;
 
--- /dev/null
+++ b/src/libs/relay/caller_connection.cpp
@@ -0,0 +1,238 @@
+#include "caller_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+
+namespace marigold::relay {
+
+namespace {
+
+/// A caller that does not take the last bytes of an answer is not waited for longer.
+constexpr base::duration closingLimit = std::chrono::seconds(2);
+
+/// Bytes read ahead of the parser; more stay in the kernel until the request under way is answered.
+constexpr std::size_t readAhead = 64 << 10;
+
+} // namespace
+
+caller_connection::caller_connection(net::event_loop& loop, int socket, options opts)
+    : m_loop(loop)
+    , m_options(std::move(opts))
+    , m_events(bufferevent_socket_new(loop.handle(), socket, BEV_OPT_CLOSE_ON_FREE))
+    , m_parser(message_parser::kind::Request,
+          { .head = [this](message_head&& head) { headRead(std::move(head)); },
+              .body =
+                  [this](std::string_view piece) {
+                      m_tooLarge = m_tooLarge || m_body.size() + piece.size() > m_options.limits.maxBodyBytes;
+                      if (!m_tooLarge)
+                          m_body.append(piece);
+                  } },
+          m_options.limits.maxHeaderBytes)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    bufferevent_setcb(m_events, readable, drained, changed, this);
+    bufferevent_setwatermark(m_events, EV_READ, 0, readAhead);
+    bufferevent_setwatermark(m_events, EV_WRITE, pauseAbove / 2, 0);
+    bufferevent_enable(m_events, EV_READ | EV_WRITE);
+    startTimer(m_options.limits.idleTimeout);
+}
+
+caller_connection::~caller_connection()
+{
+    stopTimer();
+    if (m_events)
+        bufferevent_free(m_events);
+}
+
+void caller_connection::readable(::bufferevent*, void* self)
+{
+    static_cast<caller_connection*>(self)->parse();
+}
+
+void caller_connection::drained(::bufferevent* events, void* self)
+{
+    auto* connection = static_cast<caller_connection*>(self);
+    if (connection->m_state == state::Closing && evbuffer_get_length(bufferevent_get_output(events)) == 0)
+        connection->close();
+    else if (connection->m_handler)
+        connection->m_handler->callerDrained();
+}
+
+void caller_connection::changed(::bufferevent*, short what, void* self)
+{
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+        static_cast<caller_connection*>(self)->close();
+}
+
+void caller_connection::headRead(message_head&& head)
+{
+    m_head = std::move(head);
+    m_tooLarge = m_head.contentLength > m_options.limits.maxBodyBytes;
+    const auto expect = m_head.headers.find("Expect");
+    if (expect && !m_tooLarge)
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void caller_connection::parse()
+{
+    if (m_state == state::Handling || m_state == state::Closing || m_state == state::Closed)
+        return;
+    evbuffer* input = bufferevent_get_input(m_events);
+    while (evbuffer_get_length(input) > 0) {
+        if (m_state == state::Idle) {
+            m_state = state::Reading;
+            startTimer(m_options.limits.headerTimeout);
+        }
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ssize_t>(size)));
+        const auto [used, progress] = m_parser.feed({ bytes, size });
+        evbuffer_drain(input, used);
+        switch (progress) {
+        case message_parser::progress::NeedMore:
+            if (m_tooLarge)
+                return refuse(413);
+            continue;
+        case message_parser::progress::Malformed:
+            return refuse(400);
+        case message_parser::progress::HeaderTooLarge:
+            return refuse(431);
+        case message_parser::progress::Complete:
+            break;
+        }
+        if (m_tooLarge)
+            return refuse(413);
+        stopTimer();
+        m_state = state::Handling;
+        m_keepAlive = m_head.keepAlive;
+        m_parser.reset();
+        std::string body = std::move(m_body);
+        m_body = {};
+        m_options.onRequest(*this, std::move(m_head), std::move(body));
+        return;
+    }
+}
+
+void caller_connection::refuse(int status)
+{
+    m_closeAfter = true;
+    m_state = state::Handling;
+    answer(status, {}, {});
+}
+
+void caller_connection::write(std::string_view bytes)
+{
+    if (m_events)
+        bufferevent_write(m_events, bytes.data(), bytes.size());
+}
+
+void caller_connection::answer(int status, net::http_headers headers, std::string_view body)
+{
+    if (m_state != state::Handling)
+        return;
+    headers.add("Content-Length", std::to_string(body.size()));
+    if (m_closeAfter || !m_keepAlive)
+        headers.add("Connection", "close");
+    std::string text = answerHeadText(status, headers);
+    text += body;
+    write(text);
+    requestEnded();
+}
+
+void caller_connection::beginAnswer(int status, net::http_headers headers)
+{
+    if (m_state != state::Handling)
+        return;
+    headers.add("Transfer-Encoding", "chunked");
+    if (m_closeAfter || !m_keepAlive)
+        headers.add("Connection", "close");
+    write(answerHeadText(status, headers));
+}
+
+void caller_connection::writePiece(std::string_view piece)
+{
+    if (m_state != state::Handling || piece.empty())
+        return;
+    std::string text = fmt::format("{:x}\r\n", piece.size());
+    text += piece;
+    text += "\r\n";
+    write(text);
+}
+
+void caller_connection::endAnswer()
+{
+    if (m_state != state::Handling)
+        return;
+    write("0\r\n\r\n");
+    requestEnded();
+}
+
+void caller_connection::requestEnded()
+{
+    m_handler = nullptr;
+    if (m_closeAfter || !m_keepAlive) {
+        m_state = state::Closing;
+        startTimer(closingLimit);
+        return;
+    }
+    m_state = state::Idle;
+    startTimer(m_options.limits.idleTimeout);
+    // Bytes of the next request may be waiting; they are read after the present callback.
+    if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0)
+        bufferevent_trigger(m_events, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void caller_connection::abort()
+{
+    m_handler = nullptr;
+    close();
+}
+
+void caller_connection::closeWhenIdle()
+{
+    m_closeAfter = true;
+    if (m_state == state::Idle)
+        close();
+}
+
+std::size_t caller_connection::pendingBytes() const
+{
+    return m_events ? evbuffer_get_length(bufferevent_get_output(m_events)) : 0;
+}
+
+void caller_connection::startTimer(base::duration limit)
+{
+    stopTimer();
+    m_timer = m_loop.runAfter(limit, [this] {
+        m_timer = 0;
+        if (m_state == state::Reading)
+            refuse(408);
+        else
+            close();
+    });
+}
+
+void caller_connection::stopTimer()
+{
+    m_loop.cancel(std::exchange(m_timer, 0));
+}
+
+void caller_connection::close()
+{
+    if (m_state == state::Closed)
+        return;
+    m_state = state::Closed;
+    stopTimer();
+    bufferevent_free(std::exchange(m_events, nullptr));
+    if (caller_request_handler* handler = std::exchange(m_handler, nullptr))
+        handler->callerGone();
+    m_options.onClosed(*this);
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/context_catalog.cpp
@@ -0,0 +1,203 @@
+#include "context_catalog.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marigold::relay {
+
+namespace {
+
+/// Score of a store for a part by weighted rendezvous hashing (Schindelhain and Schomaker 2005).
+double weightedScore(std::string_view partId, std::string_view store, double weight)
+{
+    const auto hash = static_cast<double>(base::rendezvousScore(partId, store));
+    const double uniform = (hash + 1.0) / 18446744073709551617.0;
+    return -weight / std::log(std::min(uniform, 1.0 - 1e-16));
+}
+
+} // namespace
+
+context_catalog::context_catalog(const base::clock& time, options opts)
+    : m_clock(time)
+    , m_options(opts)
+{
+}
+
+void context_catalog::setConfig(const relay_config& config)
+{
+    std::map<std::string, store_record, std::less<>> stores;
+    for (const auto& [name, service] : config.services()) {
+        if (service.engine && service.engine->tokenBytes > 0)
+            m_tokenBytes = service.engine->tokenBytes;
+        if (!service.store)
+            continue;
+        const std::string address = service.store->address.text();
+        auto known = m_stores.find(address);
+        store_record record = known == m_stores.end() ? store_record {} : std::move(known->second);
+        record.name = name;
+        record.info = *service.store;
+        stores.emplace(address, std::move(record));
+    }
+    m_stores = std::move(stores);
+}
+
+context_catalog::store_record* context_catalog::homeOf(std::string_view partId)
+{
+    store_record* best = nullptr;
+    double bestScore = 0;
+    for (auto& [address, store] : m_stores) {
+        const double score
+            = weightedScore(partId, address, static_cast<double>(store.info.capacityTokens));
+        if (!best || score > bestScore) {
+            best = &store;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void context_catalog::hold(store_record& store, const context_event& event)
+{
+    context_key key { .scope = event.scope, .partId = event.partId };
+    m_saving.erase(key);
+    const auto held = store.parts.find(key);
+    if (held != store.parts.end()) {
+        store.tokens -= held->second.tokens;
+        if (!event.stored) {
+            store.parts.erase(held);
+            return;
+        }
+    } else if (!event.stored) {
+        return;
+    }
+    store.tokens += event.tokens;
+    store.parts[std::move(key)] = { .tokens = event.tokens, .lastUse = m_clock.now() };
+}
+
+void context_catalog::take(const net::endpoint& address, const context_event_batch& batch)
+{
+    const auto found = m_stores.find(address.text());
+    if (found == m_stores.end())
+        return;
+    store_record& store = found->second;
+    if (batch.epoch != store.epoch || batch.lost) {
+        // A gap may hide that a part was freed, and a freed part must not be fetched.
+        store.parts.clear();
+        store.tokens = 0;
+        store.epoch = batch.epoch;
+        std::erase_if(m_saving, [&](const auto& entry) { return entry.second.store == address.text(); });
+    }
+    for (const context_event& event : batch.events)
+        hold(store, event);
+}
+
+context_catalog::planned context_catalog::plan(std::string_view scope, std::span<const prompt_part> parts)
+{
+    planned out;
+    out.plan.fetchFrom.resize(parts.size());
+    out.plan.saveTo.resize(parts.size());
+    if (m_stores.empty() || parts.size() < 2)
+        return out;
+    const base::time_point now = m_clock.now();
+    bool leading = true;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        store_record* home = homeOf(parts[i].id);
+        const context_key key { .scope = std::string(scope), .partId = parts[i].id };
+        const auto held = home->parts.find(key);
+        if (held != home->parts.end() && held->second.tokens >= parts[i].tokens) {
+            held->second.lastUse = now;
+            out.plan.fetchFrom[i] = home->info.address;
+            if (leading) {
+                out.keptTokens += parts[i].tokens;
+                constexpr double bitsPerByte = 8;
+                const double microseconds
+                    = parts[i].tokens * m_tokenBytes * bitsPerByte / std::max(home->info.linkMbps, 1.0);
+                out.transferTime
+                    += home->info.firstByte + base::duration(static_cast<std::int64_t>(microseconds));
+            }
+            continue;
+        }
+        leading = false;
+        const auto saving = m_saving.find(key);
+        if (saving != m_saving.end() && saving->second.at + m_options.saveTimeout > now)
+            continue;
+        const auto limit = static_cast<std::int64_t>(
+            m_options.fillLimit * static_cast<double>(home->info.capacityTokens));
+        if (home->tokens + parts[i].tokens <= limit)
+            out.plan.saveTo[i] = home->info.address;
+    }
+    return out;
+}
+
+void context_catalog::saving(
+    std::string_view scope, std::span<const prompt_part> parts, const context_plan& plan)
+{
+    for (std::size_t i = 0; i < plan.saveTo.size(); ++i)
+        if (plan.saveTo[i])
+            m_saving[{ .scope = std::string(scope), .partId = parts[i].id }]
+                = { .at = m_clock.now(), .store = plan.saveTo[i]->text(), .tokens = parts[i].tokens };
+}
+
+std::vector<context_key> context_catalog::outdated(
+    const net::endpoint& address, const std::set<std::string, std::less<>>& scopes) const
+{
+    std::vector<context_key> keys;
+    const auto found = m_stores.find(address.text());
+    if (found == m_stores.end())
+        return keys;
+    for (const auto& [key, part] : found->second.parts)
+        if (!scopes.contains(key.scope))
+            keys.push_back(key);
+    return keys;
+}
+
+std::vector<context_key> context_catalog::leastRecent(
+    const net::endpoint& address, std::int64_t tokens) const
+{
+    std::vector<context_key> keys;
+    const auto found = m_stores.find(address.text());
+    if (found == m_stores.end())
+        return keys;
+    std::vector<std::pair<base::time_point, const context_key*>> byUse;
+    for (const auto& [key, part] : found->second.parts)
+        byUse.emplace_back(part.lastUse, &key);
+    std::ranges::sort(byUse);
+    for (const auto& [lastUse, key] : byUse) {
+        if (tokens <= 0)
+            break;
+        tokens -= found->second.parts.at(*key).tokens;
+        keys.push_back(*key);
+    }
+    return keys;
+}
+
+void context_catalog::forget(const net::endpoint& address, std::span<const context_key> keys)
+{
+    const auto found = m_stores.find(address.text());
+    if (found == m_stores.end())
+        return;
+    for (const context_key& key : keys)
+        hold(found->second, { .stored = false, .scope = key.scope, .partId = key.partId });
+}
+
+std::vector<net::endpoint> context_catalog::addresses() const
+{
+    std::vector<net::endpoint> out;
+    for (const auto& [address, store] : m_stores)
+        out.push_back(store.info.address);
+    return out;
+}
+
+std::int64_t context_catalog::heldTokens(const net::endpoint& address) const
+{
+    const auto found = m_stores.find(address.text());
+    return found == m_stores.end() ? 0 : found->second.tokens;
+}
+
+std::int64_t context_catalog::capacityTokens(const net::endpoint& address) const
+{
+    const auto found = m_stores.find(address.text());
+    return found == m_stores.end() ? 0 : found->second.info.capacityTokens;
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/context_catalog.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "relay_config.h"
+#include "wire_dialect.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marigold::relay {
+
+/// A change of what a store of context holds.
+struct context_event {
+    bool stored = false; ///< False: dropped.
+    std::string scope;
+    std::string partId;
+    int tokens = 0; ///< Held now.
+};
+
+/// Answer of a store to a question for events.
+struct context_event_batch {
+    std::uint64_t epoch = 0; ///< Changes when the store restarts, which empties it.
+    std::uint64_t next = 0;
+    bool lost = false; ///< Events before the first one are missing.
+    std::vector<context_event> events = {};
+};
+
+/// A part as it is kept: parts of equal ids in different scopes are different parts.
+struct context_key {
+    std::string scope;
+    std::string partId;
+    auto operator<=>(const context_key&) const = default;
+};
+
+/// Which stores hold which parts of prompts, and where a part belongs.
+///
+/// The store of a part is computed from its id by rendezvous hashing weighted with the stores' capacities, so
+/// that all processes agree without messages. A part is fetched only once an event of its store has said that
+/// it is whole there; a part that is still being written would be read as garbage.
+class context_catalog {
+public:
+    struct options {
+        /// A save that has not been reported after this time is taken to have failed.
+        base::duration saveTimeout = std::chrono::seconds(6);
+        /// Share of a store that is filled; the rest is for saves whose size is known late.
+        double fillLimit = 0.97;
+    };
+
+    context_catalog(const base::clock& time, options opts);
+
+    /// Takes the stores of \a config.
+    void setConfig(const relay_config& config);
+
+    /// Takes the events of the store at \a address.
+    void take(const net::endpoint& address, const context_event_batch& batch);
+
+    /// What to fetch and save for a prompt of \a parts; only the shared ones are kept, all but the last.
+    struct planned {
+        context_plan plan;
+        int keptTokens = 0; ///< Of the leading parts that can be fetched.
+        base::duration transferTime { 0 };
+    };
+    planned plan(std::string_view scope, std::span<const prompt_part> parts);
+
+    /// Records that the saves of \a plan were sent with a request.
+    void saving(std::string_view scope, std::span<const prompt_part> parts, const context_plan& plan);
+
+    /// Parts at \a address whose scope is not in \a scopes.
+    std::vector<context_key> outdated(
+        const net::endpoint& address, const std::set<std::string, std::less<>>& scopes) const;
+
+    /// Parts at \a address that were used least recently, \a tokens or a little more of them.
+    std::vector<context_key> leastRecent(const net::endpoint& address, std::int64_t tokens) const;
+
+    /// Forgets parts that are being freed, so that nothing fetches them any more.
+    void forget(const net::endpoint& address, std::span<const context_key> keys);
+
+    std::vector<net::endpoint> addresses() const;
+    std::int64_t heldTokens(const net::endpoint& address) const;
+    std::int64_t capacityTokens(const net::endpoint& address) const;
+
+private:
+    struct held_part {
+        int tokens = 0;
+        base::time_point lastUse {};
+    };
+    struct store_record {
+        std::string name;
+        context_store_info info;
+        std::uint64_t epoch = 0;
+        std::int64_t tokens = 0;
+        std::map<context_key, held_part> parts;
+    };
+    struct save_record {
+        base::time_point at {};
+        std::string store;
+        int tokens = 0;
+    };
+
+    store_record* homeOf(std::string_view partId);
+    void hold(store_record& store, const context_event& event);
+
+    const base::clock& m_clock;
+    options m_options;
+    double m_tokenBytes = 0;
+    std::map<std::string, store_record, std::less<>> m_stores; ///< By address.
+    std::map<context_key, save_record> m_saving;
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/message_parser.cpp
@@ -0,0 +1,268 @@
+#include "message_parser.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+#include <fmt/format.h>
+#include <http_parser.h>
+
+namespace marigold::relay {
+
+namespace {
+
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::ranges::all_of(name, [&](unsigned char c) {
+        return std::isalnum(c) != 0 || marks.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
+bool isFieldText(std::string_view value)
+{
+    return std::ranges::none_of(
+        value, [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
+}
+
+bool mayHaveBody(int status)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status >= 200 && status != noContent && status != notModified;
+}
+
+} // namespace
+
+struct message_parser::private_data {
+    http_parser parser {};
+    kind what;
+    handlers calls;
+    std::size_t maxHeaderBytes;
+    std::size_t headerBytes = 0;
+    message_head head;
+    std::string name;
+    std::string value;
+    bool readingValue = false;
+    bool started = false;
+    bool headDone = false;
+    bool complete = false;
+    bool malformed = false;
+    bool tooLarge = false;
+
+    static private_data& of(http_parser* parser) { return *static_cast<private_data*>(parser->data); }
+    static int began(http_parser* parser);
+    static int targetPiece(http_parser* parser, const char* at, std::size_t size);
+    static int namePiece(http_parser* parser, const char* at, std::size_t size);
+    static int valuePiece(http_parser* parser, const char* at, std::size_t size);
+    static int headEnded(http_parser* parser);
+    static int bodyPiece(http_parser* parser, const char* at, std::size_t size);
+    static int ended(http_parser* parser);
+    static const http_parser_settings& settings();
+
+    bool count(std::size_t bytes);
+    bool flushField();
+    void clear();
+};
+
+bool message_parser::private_data::count(std::size_t bytes)
+{
+    headerBytes += bytes;
+    tooLarge = tooLarge || headerBytes > maxHeaderBytes;
+    return !tooLarge;
+}
+
+bool message_parser::private_data::flushField()
+{
+    if (!name.empty() || readingValue) {
+        if (!isToken(name) || !isFieldText(value)) {
+            malformed = true;
+            return false;
+        }
+        head.headers.add(std::move(name), std::move(value));
+    }
+    name.clear();
+    value.clear();
+    readingValue = false;
+    return true;
+}
+
+void message_parser::private_data::clear()
+{
+    head = {};
+    name.clear();
+    value.clear();
+    headerBytes = 0;
+    readingValue = started = headDone = complete = false;
+}
+
+int message_parser::private_data::began(http_parser* parser)
+{
+    of(parser).started = true;
+    return 0;
+}
+
+int message_parser::private_data::targetPiece(http_parser* parser, const char* at, std::size_t size)
+{
+    private_data& self = of(parser);
+    self.head.target.append(at, size);
+    return self.count(size) ? 0 : 1;
+}
+
+int message_parser::private_data::namePiece(http_parser* parser, const char* at, std::size_t size)
+{
+    private_data& self = of(parser);
+    if (self.headDone)
+        return 0; // Trailers are not forwarded.
+    if (self.readingValue && !self.flushField())
+        return 1;
+    self.name.append(at, size);
+    return self.count(size) ? 0 : 1;
+}
+
+int message_parser::private_data::valuePiece(http_parser* parser, const char* at, std::size_t size)
+{
+    private_data& self = of(parser);
+    if (self.headDone)
+        return 0;
+    self.readingValue = true;
+    self.value.append(at, size);
+    return self.count(size) ? 0 : 1;
+}
+
+int message_parser::private_data::headEnded(http_parser* parser)
+{
+    private_data& self = of(parser);
+    if (!self.flushField())
+        return -1;
+    const bool isRequest = self.what == kind::Request;
+    if (isRequest && parser->upgrade) {
+        self.malformed = true;
+        return -1;
+    }
+    message_head& head = self.head;
+    if (isRequest)
+        head.method = http_method_str(static_cast<http_method>(parser->method));
+    head.status = isRequest ? 0 : static_cast<int>(parser->status_code);
+    head.keepAlive = http_should_keep_alive(parser) != 0;
+    if (parser->flags & F_CHUNKED)
+        head.framing = body_framing::Chunked;
+    else if (parser->content_length != ~std::uint64_t { 0 }) {
+        head.framing = body_framing::Length;
+        head.contentLength = parser->content_length;
+    } else if (!isRequest && mayHaveBody(head.status))
+        head.framing = body_framing::UntilClose;
+    self.headDone = true;
+    self.calls.head(std::move(head));
+    return 0;
+}
+
+int message_parser::private_data::bodyPiece(http_parser* parser, const char* at, std::size_t size)
+{
+    of(parser).calls.body({ at, size });
+    return 0;
+}
+
+int message_parser::private_data::ended(http_parser* parser)
+{
+    of(parser).complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+const http_parser_settings& message_parser::private_data::settings()
+{
+    static const http_parser_settings callbacks = [] {
+        http_parser_settings made {};
+        http_parser_settings_init(&made);
+        made.on_message_begin = began;
+        made.on_url = targetPiece;
+        made.on_header_field = namePiece;
+        made.on_header_value = valuePiece;
+        made.on_headers_complete = headEnded;
+        made.on_body = bodyPiece;
+        made.on_message_complete = ended;
+        return made;
+    }();
+    return callbacks;
+}
+
+message_parser::message_parser(kind what, handlers calls, std::size_t maxHeaderBytes)
+    : d(std::make_unique<private_data>())
+{
+    d->what = what;
+    d->calls = std::move(calls);
+    d->maxHeaderBytes = maxHeaderBytes;
+    http_parser_init(&d->parser, what == kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    d->parser.data = d.get();
+}
+
+message_parser::~message_parser() = default;
+
+message_parser::fed message_parser::feed(std::string_view bytes)
+{
+    const std::size_t used
+        = http_parser_execute(&d->parser, &private_data::settings(), bytes.data(), bytes.size());
+    if (d->tooLarge)
+        return { .used = used, .state = progress::HeaderTooLarge };
+    if (d->complete)
+        return { .used = used, .state = progress::Complete };
+    if (d->malformed || HTTP_PARSER_ERRNO(&d->parser) != HPE_OK || d->parser.upgrade)
+        return { .used = used, .state = progress::Malformed };
+    return { .used = used, .state = progress::NeedMore };
+}
+
+message_parser::progress message_parser::feedEnd()
+{
+    http_parser_execute(&d->parser, &private_data::settings(), nullptr, 0);
+    return d->complete && !d->malformed ? progress::Complete : progress::Malformed;
+}
+
+void message_parser::reset()
+{
+    d->clear();
+    http_parser_init(&d->parser, d->what == kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    d->parser.data = d.get();
+}
+
+bool message_parser::hasStarted() const
+{
+    return d->started;
+}
+
+std::string requestHeadText(
+    std::string_view method, std::string_view target, const net::http_headers& headers)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", method, target);
+    for (const auto& [name, value] : headers.fields())
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", name, value);
+    text += "\r\n";
+    return text;
+}
+
+std::string answerHeadText(int status, const net::http_headers& headers)
+{
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", status, reasonPhrase(status));
+    for (const auto& [name, value] : headers.fields())
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", name, value);
+    text += "\r\n";
+    return text;
+}
+
+std::string_view reasonPhrase(int status)
+{
+    struct phrase {
+        int status;
+        std::string_view text;
+    };
+    constexpr std::array<phrase, 18> phrases { { { 200, "OK" }, { 201, "Created" }, { 202, "Accepted" },
+        { 204, "No Content" }, { 304, "Not Modified" }, { 400, "Bad Request" }, { 401, "Unauthorized" },
+        { 403, "Forbidden" }, { 404, "Not Found" }, { 408, "Request Timeout" }, { 413, "Content Too Large" },
+        { 421, "Misdirected Request" }, { 429, "Too Many Requests" },
+        { 431, "Request Header Fields Too Large" }, { 500, "Internal Server Error" }, { 502, "Bad Gateway" },
+        { 503, "Service Unavailable" }, { 504, "Gateway Timeout" } } };
+    const auto found = std::ranges::find(phrases, status, &phrase::status);
+    return found == phrases.end() ? "Status" : found->text;
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/presence.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "state_decoder.h"
+
+#include <base/base.h>
+
+#include <string>
+
+namespace marigold::relay {
+
+/// Keeps a key of this process in the platform's store for as long as it lives, so that the processes know how
+/// many share the bounds on targets.
+class presence {
+public:
+    struct options {
+        std::string process;
+        base::duration timeToLive = std::chrono::seconds(6);
+        base::duration retryPause = std::chrono::milliseconds(700);
+    };
+
+    presence(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers, options opts);
+
+    void start() { announce(); }
+
+    /// Removes the key, for a process that stops.
+    void leave();
+
+private:
+    void announce();
+    void announceLater();
+    void renewLater();
+
+    platform::kv_store& m_store;
+    const state_decoder& m_decoder;
+    base::scheduler& m_timers;
+    options m_options;
+    std::uint64_t m_lease = 0;
+    bool m_left = false;
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_config.cpp
@@ -0,0 +1,55 @@
+#include "relay_config.h"
+
+#include <algorithm>
+#include <array>
+
+namespace marigold::relay {
+
+std::string_view nameOf(request_kind kind)
+{
+    constexpr std::array<std::string_view, 3> names { "idempotent", "non_idempotent", "stream" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
+relay_config::relay_config(options opts)
+    : m_version(opts.version)
+    , m_limits(opts.limits)
+    , m_hasTeams(opts.hasTeams)
+{
+    for (route& entry : opts.routes)
+        m_routesByHost[entry.host].push_back(std::move(entry));
+    for (auto& [host, routes] : m_routesByHost)
+        std::ranges::stable_sort(
+            routes, [](const route& a, const route& b) { return a.prefix.size() > b.prefix.size(); });
+    for (service_info& service : opts.services) {
+        const std::string name = service.name;
+        m_services.emplace(name, std::move(service));
+    }
+    for (auto& [key, owner] : opts.teamsByKey)
+        m_teamsByKey.emplace(std::move(key), std::move(owner));
+}
+
+const route* relay_config::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routesByHost.find(host);
+    if (routes == m_routesByHost.end())
+        return nullptr;
+    const std::string_view plain = path.substr(0, path.find('?'));
+    const auto found
+        = std::ranges::find_if(routes->second, [&](const route& r) { return plain.starts_with(r.prefix); });
+    return found == routes->second.end() ? nullptr : &*found;
+}
+
+const team* relay_config::findTeam(std::string_view key) const
+{
+    const auto found = m_teamsByKey.find(key);
+    return found == m_teamsByKey.end() ? nullptr : &found->second;
+}
+
+const service_info* relay_config::findService(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_config.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <base/base.h>
+#include <net/http_types.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::relay {
+
+/// What may be repeated of a request.
+enum class request_kind {
+    Idempotent,
+    NonIdempotent,
+    Stream, ///< Answered by server-sent events; not idempotent unless the route is resumable.
+};
+
+/// Returns the snake-case name of \a kind.
+std::string_view nameOf(request_kind kind);
+
+/// A share of a route's requests that goes to one service.
+struct route_share {
+    std::string service;
+    double weight = 1;
+};
+
+struct route {
+    std::string name;
+    std::string host;
+    std::string prefix; ///< Begins and ends with a slash.
+    request_kind kind = request_kind::NonIdempotent;
+    base::duration timeout = std::chrono::seconds(30); ///< Longest time that a caller is kept waiting.
+    base::duration latencyGoal = std::chrono::seconds(1); ///< To the answer; of a stream, to its first event.
+    int priority = 0; ///< 0 is the most urgent.
+    int maxAttempts = 1; ///< Targets that one request may be sent to.
+    bool anonymous = false;
+    bool resumable = false;
+    std::vector<route_share> shares = {};
+
+    bool mayRepeat() const { return kind == request_kind::Idempotent || resumable; }
+};
+
+/// Limits of a model engine that the operator states.
+struct engine_limits {
+    int slots = 1;
+    std::int64_t contextTokens = 0; ///< Memory for running requests and cached parts together.
+    double tokenBytes = 0; ///< Size of one token of KV cache.
+    double linkMbps = 0;
+    bool managedContext = false;
+    std::vector<std::string> models = {};
+};
+
+/// A store of kept context.
+struct context_store_info {
+    net::endpoint address = {};
+    std::string failureDomain = {};
+    std::int64_t capacityTokens = 0;
+    double linkMbps = 0;
+    base::duration firstByte { 0 }; ///< Added to each transfer.
+    bool managed = false; ///< Frees nothing on its own.
+};
+
+struct service_info {
+    std::string name;
+    int maxConnections = 64; ///< Of one target, over all callers.
+    double coldRequestsPerSecond = 0; ///< That a cold target bears; 0 if it needs no care.
+    std::optional<engine_limits> engine = {};
+    std::optional<context_store_info> store = {};
+};
+
+struct team {
+    std::string name;
+    std::optional<int> priority = {}; ///< Takes precedence over the route's.
+    bool isolated = false; ///< Shares no context with another team.
+};
+
+/// What a caller may send and how long it may take.
+struct caller_limits {
+    std::size_t maxHeaderBytes = 16 << 10;
+    std::size_t maxBodyBytes = 4 << 20;
+    base::duration headerTimeout = std::chrono::seconds(3);
+    base::duration idleTimeout = std::chrono::seconds(15);
+};
+
+/// One version of the operator's configuration; never changed once built.
+class relay_config {
+public:
+    struct options {
+        std::uint64_t version = 0;
+        std::vector<route> routes = {};
+        std::vector<service_info> services = {};
+        std::vector<std::pair<std::string, team>> teamsByKey = {};
+        bool hasTeams = false;
+        caller_limits limits = {};
+    };
+
+    explicit relay_config(options opts);
+
+    std::uint64_t version() const { return m_version; }
+    const caller_limits& limits() const { return m_limits; }
+    bool hasTeams() const { return m_hasTeams; }
+
+    /// Returns the route of \a host with the longest prefix of \a path; null if there is none.
+    const route* findRoute(std::string_view host, std::string_view path) const;
+    const team* findTeam(std::string_view key) const;
+    const service_info* findService(std::string_view name) const;
+    const std::map<std::string, service_info, std::less<>>& services() const { return m_services; }
+
+private:
+    std::uint64_t m_version;
+    caller_limits m_limits;
+    bool m_hasTeams;
+    std::map<std::string, std::vector<route>, std::less<>> m_routesByHost; ///< Longest prefix first.
+    std::map<std::string, service_info, std::less<>> m_services;
+    std::map<std::string, team, std::less<>> m_teamsByKey;
+};
+
+/// A target as it registers itself.
+struct target_registration {
+    std::string id;
+    std::string service;
+    net::endpoint address;
+    std::string failureDomain;
+    int slots = 1;
+    bool draining = false;
+    base::duration coldFor { 0 };
+    std::uint64_t startedAtMs = 0; ///< Wall clock; tells a restart under the same id. 0 if unknown.
+    std::map<std::string, int> weightVersions = {}; ///< By model.
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_server.cpp
@@ -0,0 +1,234 @@
+#include "relay_server.h"
+
+#include "events.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace marigold::relay {
+
+namespace {
+
+constexpr base::duration houseKeepingInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+relay_server::relay_server(net::event_loop& loop, const base::clock& time, const base::event_log& log,
+    relay_ports ports, relay_options opts)
+    : m_loop(loop)
+    , m_clock(time)
+    , m_log(log)
+    , m_ports(ports)
+    , m_options(std::move(opts))
+    , m_pool(loop, time, {})
+    , m_targets(time, { .failureDomain = m_options.failureDomain })
+    , m_chooser(time, m_targets, { .oldWeightsLimit = m_options.versionLimit * 4 / 5 })
+    , m_catalog(time, {})
+    , m_retryBudget({ .percent = static_cast<int>(m_options.retryShare * 75),
+          .initial = 3,
+          .capacity = std::max(m_options.retrySlack / 6, 3),
+          .keptForRetries = 0 })
+    , m_services { .loop = loop,
+        .clock = time,
+        .random = m_random,
+        .log = log,
+        .dialect = ports.dialect,
+        .pool = m_pool,
+        .targets = m_targets,
+        .chooser = m_chooser,
+        .context = m_catalog,
+        .retryBudget = m_retryBudget,
+        .config = nullptr }
+    , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
+    , m_presence(ports.store, ports.decoder, loop, { .process = m_options.process })
+    , m_lease(ports.store, ports.decoder, loop, time, m_random, log,
+          { .process = m_options.process,
+              .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
+    , m_rollout(m_targets, m_lease, ports.control, loop, time, log, { .process = m_options.process })
+    , m_contextFollower(m_catalog, ports.context, loop, {})
+    , m_callers(loop, m_options.callers,
+          [this](caller_connection& caller, message_head&& head, std::string&& body) {
+              requestArrived(caller, std::move(head), std::move(body));
+          })
+    , m_readiness(loop, m_options.readiness,
+          [this](caller_connection& caller, message_head&&, std::string&&) { readinessAsked(caller); })
+{
+}
+
+relay_server::~relay_server() = default;
+
+base::result<void> relay_server::start()
+{
+    for (caller_listener* listener : { &m_callers, &m_readiness })
+        if (auto listening = listener->listen(); !listening)
+            return listening;
+    m_loop.runEvery(houseKeepingInterval, [this] { houseKeeping(); });
+    m_follower.start();
+    m_presence.start();
+    m_log.write(events::processState, { { "state", "started" } });
+    return {};
+}
+
+void relay_server::requestArrived(caller_connection& caller, message_head&& head, std::string&& body)
+{
+    auto owned = std::make_unique<relay_session>(
+        m_services, caller, std::move(head), std::move(body), [this](relay_session& ended) {
+            // The session is still on the stack.
+            m_loop.runAfter(base::duration::zero(), [this, key = &ended] {
+                m_sessions.erase(key);
+                finishDrainIfIdle();
+            });
+        });
+    relay_session* session = owned.get();
+    m_sessions.emplace(session, std::move(owned));
+    session->start();
+}
+
+void relay_server::readinessAsked(caller_connection& caller)
+{
+    constexpr int ready = 200;
+    constexpr int notReady = 503;
+    caller.answer(!m_draining && m_services.config ? ready : notReady, {}, {});
+}
+
+void relay_server::houseKeeping()
+{
+    m_targets.removeMissing();
+    m_rollout.step();
+}
+
+void relay_server::setConfig(std::shared_ptr<const relay_config> config)
+{
+    if (m_services.config && config->version() <= m_services.config->version())
+        return;
+    if (!m_services.config)
+        m_log.write(events::processState, { { "state", "ready" } });
+    m_services.config = config;
+    m_callers.setLimits(config->limits());
+    m_targets.setConfig(config);
+    m_catalog.setConfig(*config);
+    m_contextFollower.refresh();
+    m_log.write(events::configInForce, { { "version", std::to_string(config->version()) } });
+}
+
+void relay_server::applyExcluded()
+{
+    const std::vector<std::string> domains(m_excluded.begin(), m_excluded.end());
+    m_targets.setExcludedDomains(domains);
+    std::string list;
+    for (const std::string& domain : domains)
+        list += (list.empty() ? "" : ",") + domain;
+    m_log.write(events::domainsExcluded, { { "domains", list } });
+}
+
+void relay_server::applyProcesses()
+{
+    m_targets.setProcesses(static_cast<int>(m_processes.size()));
+}
+
+struct relay_server::state_visitor {
+    relay_server& self;
+
+    void operator()(std::monostate) const { }
+
+    void operator()(const std::shared_ptr<const relay_config>& config) const { self.setConfig(config); }
+
+    void operator()(const target_registration& target) const
+    {
+        if (!self.m_targets.targets().contains(target.id))
+            self.m_log.write(events::targetChanged,
+                { { "target", target.id }, { "service", target.service }, { "change", "came" } });
+        else if (target.draining)
+            self.m_log.write(events::targetChanged,
+                { { "target", target.id }, { "service", target.service }, { "change", "drains" } });
+        self.m_targets.put(target);
+    }
+
+    void operator()(const weights_named& named) const
+    {
+        self.m_log.write(events::versionNamed,
+            { { "model", named.model }, { "version", std::to_string(named.version) } });
+        self.m_chooser.setNamedVersion(named.model, named.version);
+        self.m_rollout.setNamed(named.model, named.version);
+    }
+
+    void operator()(const domain_excluded& excluded) const
+    {
+        self.m_excluded.insert(excluded.failureDomain);
+        self.applyExcluded();
+    }
+
+    void operator()(const process_present& process) const
+    {
+        self.m_processes.insert(process.id);
+        self.applyProcesses();
+    }
+
+    void operator()(const order_lease& lease) const { self.m_lease.seen(lease); }
+};
+
+void relay_server::changed(const state_item& item)
+{
+    std::visit(state_visitor { *this }, item);
+}
+
+void relay_server::removed(const state_item& item)
+{
+    if (const auto* target = std::get_if<target_registration>(&item)) {
+        m_log.write(events::targetChanged, { { "target", target->id }, { "change", "left" } });
+        m_targets.remove(target->id);
+    } else if (const auto* excluded = std::get_if<domain_excluded>(&item)) {
+        m_excluded.erase(excluded->failureDomain);
+        applyExcluded();
+    } else if (const auto* process = std::get_if<process_present>(&item)) {
+        m_processes.erase(process->id);
+        applyProcesses();
+    } else if (std::holds_alternative<order_lease>(item)) {
+        m_lease.seen({});
+    }
+}
+
+void relay_server::replaced(const std::vector<state_item>& present)
+{
+    m_excluded.clear();
+    m_processes.clear();
+    bool leaseHeld = false;
+    std::vector<std::string> targets;
+    for (const state_item& item : present) {
+        changed(item);
+        leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
+        if (const auto* target = std::get_if<target_registration>(&item))
+            targets.push_back(target->id);
+    }
+    m_targets.keepOnly(targets);
+    applyExcluded();
+    applyProcesses();
+    if (!leaseHeld)
+        m_lease.seen({});
+}
+
+void relay_server::drain()
+{
+    if (std::exchange(m_draining, true))
+        return;
+    m_log.write(events::processState, { { "state", "draining" } });
+    m_lease.release();
+    m_presence.leave();
+    m_callers.closeWhenIdle();
+    m_loop.runAfter(m_options.drainLimit, [this] { m_loop.stop(); });
+    finishDrainIfIdle();
+}
+
+void relay_server::finishDrainIfIdle()
+{
+    // The platform still sends new connections until it has noticed that this process is not ready.
+    constexpr base::duration noticeTime = std::chrono::milliseconds(3200);
+    if (!m_draining || !m_sessions.empty() || m_callers.connections() > 0)
+        return;
+    m_loop.runAfter(noticeTime, [this] {
+        if (m_sessions.empty())
+            m_loop.stop();
+    });
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_services.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "context_catalog.h"
+#include "relay_config.h"
+#include "target_chooser.h"
+#include "target_pool.h"
+#include "target_registry.h"
+#include "wire_dialect.h"
+
+#include <base/base.h>
+#include <net/event_loop.h>
+#include <routing/routing.h>
+
+#include <memory>
+
+namespace marigold::relay {
+
+/// What the sessions of one process share.
+struct relay_services {
+    net::event_loop& loop;
+    const base::clock& clock;
+    base::random_source& random;
+    const base::event_log& log;
+    const wire_dialect& dialect;
+    target_pool& pool;
+    target_registry& targets;
+    target_chooser& chooser;
+    context_catalog& context;
+    routing::retry_budget& retryBudget;
+    std::shared_ptr<const relay_config> config; ///< Null until the first one is known.
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_settings.cpp
@@ -0,0 +1,56 @@
+#include "relay_settings.h"
+
+namespace marigold::relay {
+
+namespace {
+
+constexpr double longestLimit = 600'000; // ms; a longer wait is a mistake in the file
+
+} // namespace
+
+void relay_settings::registerSettings(settings::settings_reader& reader)
+{
+    using settings::setting_format;
+    reader.add("relay.process", &process,
+        { .description = "Name of this process.", .format = setting_format::Name, .required = true });
+    reader.add("relay.failure_domain", &failureDomain,
+        { .description = "Failure domain of the VM.", .format = setting_format::Name, .required = true });
+    reader.add("relay.callers_address", &callersAddress,
+        { .description = "Address for callers.", .format = setting_format::Endpoint, .required = true });
+    reader.add("relay.readiness_address", &readinessAddress,
+        { .description = "Address for the readiness probe of the load balancer.",
+            .format = setting_format::Endpoint,
+            .required = true });
+    reader.add("relay.targets_check_tokens", &targetsCheckTokens,
+        { .description = "Whether targets refuse orders with an old fencing token." });
+    reader.add("relay.order_settle_ms", &orderSettle,
+        { .description
+            = "Time between two holders of the lease on orders, where targets do not check tokens.",
+            .minimum = 0,
+            .maximum = longestLimit });
+    reader.add("relay.version_limit_ms", &versionLimit,
+        { .description = "Time after new weights were named in which requests may begin on older ones.",
+            .minimum = 100,
+            .maximum = longestLimit });
+    reader.add("relay.retry_slack", &retrySlack,
+        { .description = "Repeated sends within the budget window that all processes together may make "
+                         "beyond the share of the requests.",
+            .minimum = 0,
+            .maximum = 1'000'000 });
+    reader.add("relay.retry_share", &retryShare,
+        { .description = "Share of the requests that may be sent once more.", .minimum = 0, .maximum = 1 });
+    reader.add("relay.drain_limit_ms", &drainLimit,
+        { .description = "Longest time that a graceful shutdown waits for running requests.",
+            .minimum = 0,
+            .maximum = longestLimit });
+    reader.add("store.address", &storeAddress,
+        { .description = "Address of the platform's key-value service.",
+            .format = setting_format::Endpoint,
+            .required = true });
+    reader.addChoice("log.level", logLevel,
+        { { "debug", base::log_level::Debug }, { "info", base::log_level::Info },
+            { "warning", base::log_level::Warning }, { "error", base::log_level::Error } },
+        { .description = "Lowest level that is logged." });
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/relay_settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <base/base.h>
+#include <settings/settings.h>
+
+#include <string>
+
+namespace marigold::relay {
+
+/// Settings of a relay process; sections `relay` and `store`.
+struct relay_settings {
+    std::string process = {}; ///< Name of the VM or process; required.
+    std::string failureDomain = {}; ///< Required.
+    std::string callersAddress = {}; ///< IP:PORT for callers; required.
+    std::string readinessAddress = {}; ///< IP:PORT for the readiness probe; required.
+    bool targetsCheckTokens = false;
+    std::chrono::milliseconds orderSettle { 3000 };
+    std::chrono::milliseconds versionLimit { 6000 };
+    std::int32_t retrySlack = 50;
+    double retryShare = 0.2;
+    std::chrono::milliseconds drainLimit { 7000 };
+    std::string storeAddress = {}; ///< IP:PORT of the key-value service; required.
+    base::log_level logLevel = base::log_level::Info;
+
+    void registerSettings(settings::settings_reader& reader);
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/target_chooser.cpp
@@ -0,0 +1,64 @@
+#include "target_chooser.h"
+
+namespace marigold::relay {
+
+target_chooser::target_chooser(const base::clock& time, target_registry& targets, options opts)
+    : m_clock(time)
+    , m_targets(targets)
+    , m_options(opts)
+{
+}
+
+void target_chooser::setNamedVersion(std::string_view model, int version)
+{
+    named_version& named = m_named[std::string(model)];
+    if (version > named.version)
+        named = { .version = version, .since = m_clock.now() };
+}
+
+std::string target_chooser::requiredVersion(const placement_request& request) const
+{
+    const auto named = m_named.find(request.model);
+    if (request.model.empty() || named == m_named.end())
+        return {};
+    const bool late = m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
+    const double share
+        = m_targets.shareWithVersion(request.service, request.model, named->second.version);
+    return late || share >= m_options.newWeightsShare ? std::to_string(named->second.version)
+                                                      : std::string();
+}
+
+placement target_chooser::choose(const placement_request& request)
+{
+    const bool isPrompt = !request.model.empty();
+    const std::string version = requiredVersion(request);
+    const routing::route_decision decision
+        = m_targets.router().route({ .policy = isPrompt ? routing::routing_policy::Prompt
+                                                        : routing::routing_policy::IdempotentCall,
+                                       .kind = routing::target_kind::Engine,
+                                       .model = request.service,
+                                       .version = version,
+                                       .goal = routing::serving_goal::LeastRecomputation,
+                                       .size = { .promptTokens = request.promptTokens,
+                                           .prefixTokens = request.sharedTokens },
+                                       .prefixKey = request.sharedPart.empty()
+                                           ? 0
+                                           : base::hash64(request.sharedPart) | 1,
+                                       .kept = { .tokens = request.keptTokens,
+                                           .transferTime = request.transferTime },
+                                       .idleTime = std::chrono::seconds(1),
+                                       .tried = request.tried },
+            m_clock.now());
+    if (decision.empty())
+        return { .outcome = placement_outcome::NoTarget };
+    for (const routing::candidate& item : decision.candidates()) {
+        target_record* target = m_targets.record(item.target);
+        if (target && m_targets.mayTake(*target))
+            return { .outcome = placement_outcome::Chosen,
+                .target = target,
+                .firstTokenSeconds = item.cost.firstTokenSeconds };
+    }
+    return { .outcome = placement_outcome::Busy };
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/target_connection.cpp
@@ -0,0 +1,213 @@
+#include "target_connection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+
+namespace marigold::relay {
+
+namespace {
+
+/// Enough for any answer head; a longer one is a fault of the target.
+constexpr std::size_t maxAnswerHeader = 64 << 10;
+
+void setSilenceTimeout(int socket, base::duration limit)
+{
+    const int on = 1;
+    const int seconds = 1;
+    const int probes = 2;
+    const auto milliseconds = static_cast<unsigned>(limit.count() / 1000);
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+/// Reads `timeout=N` of a Keep-Alive field.
+std::optional<base::duration> keepAliveOf(const net::http_headers& headers)
+{
+    const auto field = headers.find("Keep-Alive");
+    if (!field)
+        return std::nullopt;
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = field->find(parameter);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = field->substr(at + parameter.size());
+    int seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+target_connection::target_connection(net::event_loop& loop, options opts)
+    : m_loop(loop)
+    , m_options(std::move(opts))
+    , m_parser(message_parser::kind::Answer,
+          { .head = [this](message_head&& head) { headRead(std::move(head)); },
+              .body =
+                  [this](std::string_view piece) {
+                      if (!m_skipping && m_handler)
+                          m_handler->answerPiece(piece);
+                  } },
+          maxAnswerHeader)
+{
+    m_events = bufferevent_socket_new(loop.handle(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(m_events, readable, nullptr, changed, this);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_options.to.port);
+    inet_pton(AF_INET, m_options.to.address.c_str(), &address.sin_addr);
+    if (bufferevent_socket_connect(m_events, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+        setSilenceTimeout(bufferevent_getfd(m_events), m_options.silenceTimeout);
+    bufferevent_enable(m_events, EV_READ | EV_WRITE);
+    m_connectTimer = m_loop.runAfter(m_options.connectTimeout, [this] {
+        m_connectTimer = 0;
+        fail("no connection in time");
+    });
+}
+
+target_connection::~target_connection()
+{
+    m_loop.cancel(m_connectTimer);
+    if (m_events)
+        bufferevent_free(m_events);
+}
+
+void target_connection::send(std::string_view request, answer_handler& handler)
+{
+    m_handler = &handler;
+    m_skipping = m_sawOther = false;
+    m_parser.reset();
+    if (m_events)
+        bufferevent_write(m_events, request.data(), request.size());
+}
+
+void target_connection::cancel()
+{
+    m_handler = nullptr;
+    close();
+}
+
+void target_connection::setPaused(bool paused)
+{
+    if (!m_events)
+        return;
+    if (paused)
+        bufferevent_disable(m_events, EV_READ);
+    else
+        bufferevent_enable(m_events, EV_READ);
+}
+
+void target_connection::readable(::bufferevent*, void* self)
+{
+    static_cast<target_connection*>(self)->parse();
+}
+
+void target_connection::changed(::bufferevent*, short what, void* self)
+{
+    auto* connection = static_cast<target_connection*>(self);
+    if (what & BEV_EVENT_CONNECTED) {
+        connection->m_connected = true;
+        connection->m_loop.cancel(std::exchange(connection->m_connectTimer, 0));
+        return;
+    }
+    if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+        return;
+    connection->m_reusable = false;
+    const bool orderly = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR);
+    if (orderly && connection->m_handler && connection->m_parser.hasStarted()
+        && connection->m_parser.feedEnd() == message_parser::progress::Complete) {
+        if (!connection->m_skipping)
+            return connection->completed();
+    }
+    connection->fail(connection->m_connected ? "connection lost before the answer was complete"
+                                             : "connection refused");
+}
+
+void target_connection::headRead(message_head&& head)
+{
+    if (!m_handler)
+        return;
+    constexpr int firstFinalStatus = 200;
+    if (head.status < firstFinalStatus) {
+        m_skipping = true;
+        return;
+    }
+    m_reusable = m_reusable && head.keepAlive;
+    m_keepAlive = keepAliveOf(head.headers);
+    m_skipping = !m_handler->answerBegins(head);
+    m_sawOther = m_sawOther || m_skipping;
+}
+
+void target_connection::parse()
+{
+    while (m_events) {
+        evbuffer* input = bufferevent_get_input(m_events);
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        if (size == 0)
+            return;
+        if (!m_handler)
+            return close(); // Bytes without a request belong to nobody.
+        const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ssize_t>(size)));
+        const auto [used, progress] = m_parser.feed({ bytes, size });
+        if (!m_events)
+            return;
+        evbuffer_drain(input, used);
+        if (progress == message_parser::progress::NeedMore)
+            continue;
+        if (progress != message_parser::progress::Complete)
+            return fail("malformed answer");
+        m_parser.reset();
+        if (!m_skipping)
+            return completed();
+        m_skipping = false;
+    }
+}
+
+void target_connection::completed()
+{
+    const bool clean = evbuffer_get_length(bufferevent_get_input(m_events)) == 0
+        && evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
+    answer_handler* handler = std::exchange(m_handler, nullptr);
+    if (m_reusable && clean && !m_sawOther) {
+        m_idleSince = base::system_clock().now();
+        m_options.onIdle(*this);
+    } else {
+        close();
+    }
+    handler->answerEnds();
+}
+
+void target_connection::fail(std::string message)
+{
+    answer_handler* handler = std::exchange(m_handler, nullptr);
+    const bool connected = m_connected;
+    close();
+    if (handler)
+        handler->answerFails({ .verdict = connected ? base::verdict::MayHaveRun : base::verdict::NotRun,
+            .reason = base::error_reason::Unavailable,
+            .message = std::move(message) });
+}
+
+void target_connection::close()
+{
+    if (!m_events)
+        return;
+    m_loop.cancel(std::exchange(m_connectTimer, 0));
+    bufferevent_free(std::exchange(m_events, nullptr));
+    m_options.onClosed(*this);
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/target_pool.cpp
@@ -0,0 +1,70 @@
+#include "target_pool.h"
+
+#include <algorithm>
+
+namespace marigold::relay {
+
+target_pool::target_pool(net::event_loop& loop, const base::clock& time, options opts)
+    : m_loop(loop)
+    , m_clock(time)
+    , m_options(opts)
+{
+}
+
+bool target_pool::isFresh(const target_connection& connection, bool repeatable) const
+{
+    const base::duration idle = m_clock.now() - connection.idleSince();
+    const base::duration kept = connection.keepAlive().value_or(m_options.idleLimit) - m_options.idleMargin;
+    return idle < kept && (repeatable || idle < m_options.idleLimitUnrepeatable);
+}
+
+target_connection* target_pool::take(
+    const net::endpoint& to, bool repeatable, std::size_t maxConnections)
+{
+    address_record& record = m_addresses[to.text()];
+    while (!record.idle.empty()) {
+        target_connection* connection = record.idle.back();
+        record.idle.pop_back();
+        if (connection->isOpen() && isFresh(*connection, repeatable))
+            return connection;
+        connection->cancel();
+    }
+    if (record.open >= maxConnections)
+        return nullptr;
+    auto owned = std::make_unique<target_connection>(m_loop,
+        target_connection::options { .to = to,
+            .onClosed = [this](target_connection& connection) { closed(connection); },
+            .onIdle = [this](target_connection& connection) { becameIdle(connection); } });
+    target_connection* connection = owned.get();
+    m_connections.emplace(connection, std::move(owned));
+    ++record.open;
+    return connection;
+}
+
+void target_pool::forget(const net::endpoint& to)
+{
+    const auto found = m_addresses.find(to.text());
+    if (found == m_addresses.end())
+        return;
+    for (target_connection* connection : std::exchange(found->second.idle, {}))
+        connection->cancel();
+}
+
+void target_pool::closed(target_connection& connection)
+{
+    address_record& record = m_addresses[connection.to().text()];
+    std::erase(record.idle, &connection);
+    --record.open;
+    // The connection may still be on the stack of one of its own callbacks.
+    m_loop.runAfter(base::duration::zero(), [this, key = &connection] { m_connections.erase(key); });
+}
+
+void target_pool::becameIdle(target_connection& connection)
+{
+    address_record& record = m_addresses[connection.to().text()];
+    if (record.idle.size() >= m_options.maxIdlePerTarget)
+        return connection.cancel();
+    record.idle.push_back(&connection);
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/target_registry.cpp
@@ -0,0 +1,231 @@
+#include "target_registry.h"
+
+#include <algorithm>
+
+namespace marigold::relay {
+
+namespace {
+
+/// All targets of an installation share a region as far as routing is concerned: routes name no other one.
+constexpr std::string_view onlyRegion = "region";
+
+/// Weight of a new sample in smoothed figures.
+constexpr double smoothing = 0.1;
+
+/// The best speed seen is forgotten slowly, since a target may become slower.
+constexpr double speedDecay = 0.995;
+
+} // namespace
+
+target_registry::target_registry(const base::clock& time, options opts)
+    : m_clock(time)
+    , m_options(std::move(opts))
+    , m_table({ .failureDomain = m_options.failureDomain, .region = std::string(onlyRegion) })
+    , m_outliers({ .consecutiveErrors = 3,
+          .errorShare = 0.3,
+          .firstEjection = std::chrono::seconds(1),
+          .longestEjection = std::chrono::seconds(8),
+          .probeTimeout = std::chrono::seconds(3),
+          .probesToReturn = 1,
+          .changed = [this](routing::target_index target,
+                         bool ejected) { m_table.setEjected(target, ejected); } })
+    , m_router(m_table, m_random, { .samples = 3 }, &m_outliers)
+{
+}
+
+routing::target_info target_registry::infoOf(const target_registration& registration) const
+{
+    const auto& versions = registration.weightVersions;
+    return { .id = registration.id,
+        .failureDomain = registration.failureDomain,
+        .region = std::string(onlyRegion),
+        .kind = routing::target_kind::Engine,
+        .model = registration.service,
+        .version = versions.empty() ? std::string() : std::to_string(versions.begin()->second) };
+}
+
+void target_registry::put(const target_registration& registration)
+{
+    m_missing.erase(registration.id);
+    auto& held = m_targets[registration.id];
+    const bool restarted = held && registration.startedAtMs != held->registration.startedAtMs;
+    if (held && (restarted || held->registration.address != registration.address)) {
+        // A restart under the same id knows nothing of before.
+        const std::string id = registration.id;
+        remove(id);
+        return put(registration);
+    }
+    const bool isNew = !held;
+    if (isNew)
+        held = std::make_shared<target_record>();
+    held->registration = registration;
+    noteVersions(registration);
+    if (registration.coldFor > base::duration::zero())
+        held->coldUntil = m_clock.now() + registration.coldFor;
+    held->index = m_table.put(infoOf(registration));
+    m_table.setState(held->index,
+        registration.draining ? routing::target_state::Draining : routing::target_state::Serving);
+    if (!isNew)
+        return;
+    m_byIndex.resize(std::max<std::size_t>(m_byIndex.size(), held->index + 1));
+    m_byIndex[held->index] = held;
+    m_outliers.add(held->index, registration.service);
+    report(*held, { .slots = registration.slots });
+}
+
+void target_registry::remove(std::string_view id)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return;
+    const std::shared_ptr<target_record> target = found->second;
+    target->gone = true;
+    m_outliers.remove(target->index);
+    m_table.remove(target->index);
+    m_byIndex[target->index] = nullptr;
+    m_targets.erase(found);
+}
+
+void target_registry::keepOnly(const std::vector<std::string>& present)
+{
+    for (const auto& [id, target] : m_targets)
+        if (std::ranges::find(present, id) == present.end())
+            m_missing.emplace(id, m_clock.now());
+}
+
+void target_registry::removeMissing()
+{
+    const base::time_point limit = m_clock.now() - m_options.missingGrace;
+    for (auto next = m_missing.begin(); next != m_missing.end();) {
+        if (next->second > limit) {
+            ++next;
+            continue;
+        }
+        remove(next->first);
+        next = m_missing.erase(next);
+    }
+}
+
+void target_registry::setConfig(std::shared_ptr<const relay_config> config)
+{
+    m_config = std::move(config);
+}
+
+target_record* target_registry::record(routing::target_index index)
+{
+    return index < m_byIndex.size() ? m_byIndex[index].get() : nullptr;
+}
+
+bool target_registry::mayTake(target_record& target) const
+{
+    const service_info* service
+        = m_config ? m_config->findService(target.registration.service) : nullptr;
+    if (!service)
+        return true;
+    const base::time_point now = m_clock.now();
+    const intake_share share { .targetPerSecond = service->coldRequestsPerSecond,
+        .processes = m_processes,
+        .cold = now < target.coldUntil };
+    return target.intake.allows(share.perSecond(), now);
+}
+
+routing::choice_ticket target_registry::began(target_record& target, int prefillTokens)
+{
+    const base::time_point now = m_clock.now();
+    target.intake.sent(now);
+    ++target.running;
+    target.pendingPrefill += prefillTokens;
+    return m_table.recordChoice(target.index, prefillTokens, now);
+}
+
+void target_registry::firstToken(target_record& target, int prefillTokens, base::duration took)
+{
+    target.pendingPrefill -= prefillTokens;
+    const double seconds = std::chrono::duration<double>(took).count();
+    if (prefillTokens > 0 && seconds > 0)
+        target.prefillSpeed = std::max(target.prefillSpeed * speedDecay, prefillTokens / seconds);
+}
+
+void target_registry::ended(
+    target_record& target, const routing::choice_ticket& ticket, base::duration took)
+{
+    --target.running;
+    const double seconds = std::chrono::duration<double>(took).count();
+    target.serviceSeconds += (target.serviceSeconds == 0 ? 1.0 : smoothing) * (seconds - target.serviceSeconds);
+    if (!target.gone)
+        m_table.recordEnd(ticket, m_clock.now());
+}
+
+void target_registry::loadStated(target_record& target, const stated_load& load)
+{
+    if (!target.gone)
+        report(target, load);
+}
+
+void target_registry::report(target_record& target, const stated_load& load)
+{
+    // A target does not say how much it has still to prefill; that of the other processes is taken to be in
+    // proportion to their requests.
+    const double factor
+        = target.running > 0 ? std::max(1.0, static_cast<double>(load.running) / target.running) : 1.0;
+    m_table.report(target.index,
+        { .running = load.running,
+            .queued = load.queued,
+            .slots = std::max(load.slots, 1),
+            .pendingPrefillTokens = static_cast<std::int64_t>(
+                factor * static_cast<double>(std::max<std::int64_t>(target.pendingPrefill, 0))),
+            .prefillTokensPerSecond = target.prefillSpeed,
+            .serviceTime = base::duration(static_cast<std::int64_t>(target.serviceSeconds * 1e6)) },
+        m_clock.now());
+}
+
+void target_registry::observe(target_record& target, bool failed)
+{
+    if (!target.gone)
+        m_outliers.observe(target.index, failed, 1.0, m_clock.now());
+}
+
+void target_registry::versionSeen(target_record& target, std::string_view model, int version)
+{
+    const auto found = target.registration.weightVersions.find(std::string(model));
+    if (found == target.registration.weightVersions.end() || found->second == version || target.gone)
+        return;
+    found->second = version;
+    noteVersions(target.registration);
+    m_table.put(infoOf(target.registration));
+}
+
+void target_registry::noteVersions(const target_registration& registration)
+{
+    for (const auto& [model, version] : registration.weightVersions) {
+        int& newest = m_newest[registration.service][model];
+        newest = std::max(newest, version);
+    }
+}
+
+int target_registry::newestVersion(std::string_view service, std::string_view model) const
+{
+    const auto models = m_newest.find(service);
+    if (models == m_newest.end())
+        return 0;
+    const auto found = models->second.find(model);
+    return found == models->second.end() ? 0 : found->second;
+}
+
+double target_registry::shareWithVersion(
+    std::string_view service, std::string_view model, int version) const
+{
+    int all = 0;
+    int reached = 0;
+    for (const auto& [id, target] : m_targets) {
+        const auto& versions = target->registration.weightVersions;
+        const auto found = versions.find(std::string(model));
+        if (target->registration.service != service || found == versions.end())
+            continue;
+        ++all;
+        reached += found->second >= version ? 1 : 0;
+    }
+    return all == 0 ? 0.0 : static_cast<double>(reached) / all;
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/programs/relay/main.cpp
@@ -0,0 +1,78 @@
+#include <node/command_line.h>
+#include <platform_adapter.h>
+#include <relay/relay.h>
+
+#include <csignal>
+#include <cstdio>
+
+#include <fmt/format.h>
+
+namespace {
+
+using namespace marigold;
+
+net::endpoint endpointOf(const std::string& text)
+{
+    return net::endpoint::parse(text).value_or(net::endpoint {}); // The settings have checked it.
+}
+
+relay::relay_options optionsOf(const relay::relay_settings& settings, base::random_source& random)
+{
+    constexpr std::size_t startBytes = 4;
+    return { .process = fmt::format("{}.{}", settings.process, random.hex(startBytes)),
+        .failureDomain = settings.failureDomain,
+        .callers = endpointOf(settings.callersAddress),
+        .readiness = endpointOf(settings.readinessAddress),
+        .targetsCheckTokens = settings.targetsCheckTokens,
+        .orderSettle = settings.orderSettle,
+        .versionLimit = settings.versionLimit,
+        .retrySlack = settings.retrySlack,
+        .retryShare = settings.retryShare,
+        .drainLimit = settings.drainLimit };
+}
+
+int serve(const relay::relay_settings& settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const base::event_log log({ .minimum = settings.logLevel,
+        .format = base::log_format::Json,
+        .process = settings.process,
+        .output = [](std::string_view line) {
+            std::fwrite(line.data(), 1, line.size(), stdout);
+            std::fflush(stdout);
+        } });
+    base::random_source random = base::random_source::fromSystem();
+    base::system_clock clock;
+    net::event_loop loop;
+    net::http_client client(loop);
+    platform_adapter::header_dialect dialect;
+    platform_adapter::entry_decoder decoder;
+    platform_adapter::store_client store(client, { .store = endpointOf(settings.storeAddress) });
+    platform_adapter::target_client targets(client, {});
+    relay::relay_server server(loop, clock, log,
+        { .dialect = dialect, .decoder = decoder, .store = store, .control = targets, .context = targets },
+        optionsOf(settings, random));
+    if (const auto started = server.start(); !started) {
+        fmt::print(stderr, "{}\n", started.error().message);
+        return 1;
+    }
+    loop.onSignal(SIGTERM, [&] { server.drain(); });
+    loop.onSignal(SIGINT, [&] { server.drain(); });
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    relay::relay_settings settings;
+    settings::settings_reader reader;
+    settings.registerSettings(reader);
+    const node::program_description program { .name = "marigold-relay",
+        .version = MARIGOLD_VERSION,
+        .summary = "Relays requests of callers to targets without agents." };
+    if (const auto code = node::readCommandLine(program, reader, argc, argv))
+        return *code;
+    return serve(settings);
+}
