Tell the other relays of unfinished work at each target

A relay knew the load of an engine only from answers, which are late when the engine is slow, and scaled its own pending prefill by a guess. Ruled out: too little capacity (prefill used 35 % of the engines' time).

--- /dev/null
+++ b/src/libs/relay/load_digest.cpp
@@ -0,0 +1,63 @@
+#include "load_digest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::relay {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t fieldsOfEntry = 4;
+
+} // namespace
+
+target_load& target_load::operator+=(const target_load& other)
+{
+    requests += other.requests;
+    prefillTokens += other.prefillTokens;
+    tokens += other.tokens;
+    return *this;
+}
+
+target_load& target_load::operator-=(const target_load& other)
+{
+    requests -= other.requests;
+    prefillTokens -= other.prefillTokens;
+    tokens -= other.tokens;
+    return *this;
+}
+
+std::string encode(const load_digest& digest)
+{
+    // Numbers follow each other without names, since the same datagram goes to every peer many times a second.
+    json numbers = json::array();
+    for (const load_digest::entry& item : digest.entries) {
+        numbers.push_back(item.target);
+        numbers.push_back(item.load.requests);
+        numbers.push_back(item.load.prefillTokens);
+        numbers.push_back(item.load.tokens);
+    }
+    std::string bytes;
+    json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers) }), bytes);
+    return bytes;
+}
+
+base::result<load_digest> decodeLoadDigest(std::string_view bytes)
+{
+    try {
+        const json value = json::from_msgpack(bytes);
+        load_digest digest { .process = value.at(0), .sequence = value.at(1) };
+        const json& numbers = value.at(2);
+        for (std::size_t i = 0; i + fieldsOfEntry <= numbers.size(); i += fieldsOfEntry)
+            digest.entries.push_back({ .target = numbers.at(i),
+                .load = { .requests = numbers.at(i + 1),
+                    .prefillTokens = numbers.at(i + 2),
+                    .tokens = numbers.at(i + 3) } });
+        return digest;
+    } catch (const json::exception& problem) {
+        return base::notRun(base::error_reason::InvalidRequest, problem.what());
+    }
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/load_digest.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <base/base.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::relay {
+
+/// Unfinished work at one target.
+struct target_load {
+    int requests = 0;
+    std::int64_t prefillTokens = 0; ///< Of prompts whose first token has not come.
+    std::int64_t tokens = 0; ///< That the requests occupy at their end.
+
+    target_load& operator+=(const target_load& other);
+    target_load& operator-=(const target_load& other);
+    bool operator==(const target_load&) const = default;
+};
+
+/// The unfinished work of one process at all targets, as it tells the others.
+struct load_digest {
+    std::string process;
+    std::uint64_t sequence = 0; ///< An older digest that arrives late is dropped.
+    struct entry {
+        std::uint64_t target = 0; ///< Hash of the target's id.
+        target_load load;
+    };
+    std::vector<entry> entries = {};
+};
+
+/// Encodes \a digest as MessagePack.
+std::string encode(const load_digest& digest);
+
+/// Decodes what `encode` returned; `InvalidRequest` for any other bytes.
+base::result<load_digest> decodeLoadDigest(std::string_view bytes);
+
+} // namespace marigold::relay
--- a/src/libs/relay/presence.cpp
+++ b/src/libs/relay/presence.cpp
@@ -18,7 +18,7 @@
             return announceLater();
         m_lease = *lease;
         m_store.put({ .key = m_decoder.processKey(m_options.process),
-                        .value = m_options.process,
+                        .value = m_options.address.text(),
                         .lease = m_lease },
             [this](base::result<std::uint64_t> written) {
                 if (written)
--- a/src/libs/relay/presence.h
+++ b/src/libs/relay/presence.h
@@ -14,6 +14,7 @@
 public:
     struct options {
         std::string process;
+        net::endpoint address = {}; ///< For datagrams of the other processes.
         base::duration timeToLive = std::chrono::seconds(6);
         base::duration retryPause = std::chrono::milliseconds(700);
     };
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -40,12 +40,16 @@
         .retryBudget = m_retryBudget,
         .config = nullptr }
     , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
-    , m_presence(ports.store, ports.decoder, loop, { .process = m_options.process })
+    , m_presence(ports.store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
     , m_lease(ports.store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log, { .process = m_options.process })
     , m_contextFollower(m_catalog, ports.context, loop, {})
+    , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { m_loads.received(bytes); })
+    , m_loads(m_targets, loop,
+          [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
+          { .process = m_options.process })
     , m_callers(loop, m_options.callers,
           [this](caller_connection& caller, message_head&& head, std::string&& body) {
               requestArrived(caller, std::move(head), std::move(body));
@@ -62,6 +66,9 @@
     for (caller_listener* listener : { &m_callers, &m_readiness })
         if (auto listening = listener->listen(); !listening)
             return listening;
+    if (auto bound = m_datagrams.bind(m_options.peers); !bound)
+        return bound;
+    m_loads.start();
     m_loop.runEvery(houseKeepingInterval, [this] { houseKeeping(); });
     m_follower.start();
     m_presence.start();
@@ -124,6 +131,7 @@
 void relay_server::applyProcesses()
 {
     m_targets.setProcesses(static_cast<int>(m_processes.size()));
+    m_loads.setPeers(m_processes);
 }
 
 struct relay_server::state_visitor {
@@ -160,7 +168,8 @@
 
     void operator()(const process_present& process) const
     {
-        self.m_processes.insert(process.id);
+        if (process.address)
+            self.m_processes.insert_or_assign(process.id, *process.address);
         self.applyProcesses();
     }
 
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -2,6 +2,7 @@
 
 #include "caller_listener.h"
 #include "context_follower.h"
+#include "load_exchange.h"
 #include "order_lease_holder.h"
 #include "presence.h"
 #include "relay_services.h"
@@ -30,6 +31,7 @@
     std::string process; ///< Unique for each start.
     std::string failureDomain;
     net::endpoint callers; ///< Where callers connect.
+    net::endpoint peers; ///< For datagrams of the other processes.
     net::endpoint readiness; ///< Where the platform asks whether callers may connect.
     bool targetsCheckTokens = true;
     /// Orders of two holders within this time count as concurrent.
@@ -88,8 +90,10 @@
     weights_rollout m_rollout;
     context_follower m_contextFollower;
     std::set<std::string, std::less<>> m_excluded;
-    std::set<std::string, std::less<>> m_processes;
+    std::map<std::string, net::endpoint> m_processes;
     std::unordered_map<relay_session*, std::unique_ptr<relay_session>> m_sessions;
+    net::udp_socket m_datagrams;
+    load_exchange m_loads;
     caller_listener m_callers;
     caller_listener m_readiness;
     bool m_draining = false;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -192,9 +192,11 @@
     }
     m_target = m_services.targets.targets().at(target.registration.id);
     m_tried.push_back(target.index);
-    m_prefillTokens = m_request.promptTokens - m_context.keptTokens;
+    m_work = { .requests = 1,
+        .prefillTokens = m_request.promptTokens - m_context.keptTokens,
+        .tokens = m_request.promptTokens + m_request.maxOutputTokens };
     m_firstTokenSeen = false;
-    m_ticket = m_services.targets.began(target, m_prefillTokens);
+    m_services.targets.began(target, m_work);
     m_sentAt = now();
     m_answer = answer_state::None;
     ++m_sends;
@@ -208,8 +210,6 @@
     if (answer.attemptId != m_request.attemptId)
         return false;
     m_answerHead = head;
-    if (answer.load)
-        m_services.targets.loadStated(*m_target, *answer.load);
     if (answer.weightVersion)
         m_services.targets.versionSeen(*m_target, m_request.model, *answer.weightVersion);
     constexpr int misdirected = 421;
@@ -250,7 +250,8 @@
 {
     if (!m_firstTokenSeen) {
         m_firstTokenSeen = true;
-        m_services.targets.firstToken(*m_target, m_prefillTokens, now() - m_sentAt);
+        m_services.targets.prefillEnded(
+            *m_target, std::exchange(m_work.prefillTokens, 0), now() - m_sentAt);
         if (!m_firstByteAfter)
             m_firstByteAfter = elapsed();
     }
@@ -287,9 +288,7 @@
 {
     if (!m_target)
         return;
-    if (!m_firstTokenSeen)
-        m_services.targets.firstToken(*m_target, m_prefillTokens, {});
-    m_services.targets.ended(*m_target, m_ticket, now() - m_sentAt);
+    m_services.targets.ended(*m_target, m_work, now() - m_sentAt);
     m_target = nullptr;
     m_connection = nullptr;
 }
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -84,9 +84,8 @@
 
     target_connection* m_connection = nullptr;
     std::shared_ptr<target_record> m_target;
-    routing::choice_ticket m_ticket {};
+    target_load m_work; ///< What is left of this request at its target.
     base::time_point m_sentAt {};
-    int m_prefillTokens = 0;
     bool m_firstTokenSeen = false;
     int m_sends = 0;
     int m_possibleRuns = 0; ///< Sends that the target did not prove to be without effect.
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -17,6 +17,10 @@
         { .description = "Failure domain of the VM.", .format = setting_format::Name, .required = true });
     reader.add("relay.callers_address", &callersAddress,
         { .description = "Address for callers.", .format = setting_format::Endpoint, .required = true });
+    reader.add("relay.peers_address", &peersAddress,
+        { .description = "Address for datagrams of the other relay processes.",
+            .format = setting_format::Endpoint,
+            .required = true });
     reader.add("relay.readiness_address", &readinessAddress,
         { .description = "Address for the readiness probe of the load balancer.",
             .format = setting_format::Endpoint,
--- a/src/libs/relay/state_decoder.h
+++ b/src/libs/relay/state_decoder.h
@@ -4,6 +4,7 @@
 
 #include <platform/kv_store.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -24,6 +25,7 @@
 /// Another process of the system lives.
 struct process_present {
     std::string id;
+    std::optional<net::endpoint> address = {}; ///< For datagrams between processes.
 };
 
 /// The process that gives orders to targets.
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -70,7 +70,9 @@
     m_byIndex.resize(std::max<std::size_t>(m_byIndex.size(), held->index + 1));
     m_byIndex[held->index] = held;
     m_outliers.add(held->index, registration.service);
-    report(*held, { .slots = registration.slots });
+    held->hash = base::hash64(registration.id);
+    m_byHash[held->hash] = held.get();
+    report(*held);
 }
 
 void target_registry::remove(std::string_view id)
@@ -83,6 +85,7 @@
     m_outliers.remove(target->index);
     m_table.remove(target->index);
     m_byIndex[target->index] = nullptr;
+    m_byHash.erase(target->hash);
     m_targets.erase(found);
 }
 
@@ -104,6 +107,12 @@
         remove(next->first);
         next = m_missing.erase(next);
     }
+    std::vector<std::string> silent;
+    for (const auto& [process, told] : m_peerLoads)
+        if (told.at + m_options.peerSilence < m_clock.now())
+            silent.push_back(process);
+    for (const std::string& process : silent)
+        setPeerLoad(process, {});
 }
 
 void target_registry::setConfig(std::shared_ptr<const relay_config> config)
@@ -129,51 +138,100 @@
     return target.intake.allows(share.perSecond(), now);
 }
 
-routing::choice_ticket target_registry::began(target_record& target, int prefillTokens)
+void target_registry::began(target_record& target, const target_load& work)
 {
-    const base::time_point now = m_clock.now();
-    target.intake.sent(now);
-    ++target.running;
-    target.pendingPrefill += prefillTokens;
-    return m_table.recordChoice(target.index, prefillTokens, now);
+    target.intake.sent(m_clock.now());
+    target.own += work;
+    double& mean = m_meanTokens[target.registration.service];
+    const auto tokens = static_cast<double>(work.tokens);
+    mean += (mean == 0 ? 1.0 : smoothing) * (tokens - mean);
+    report(target);
 }
 
-void target_registry::firstToken(target_record& target, int prefillTokens, base::duration took)
+void target_registry::prefillEnded(
+    target_record& target, std::int64_t prefillTokens, base::duration took)
 {
-    target.pendingPrefill -= prefillTokens;
+    target.own.prefillTokens -= prefillTokens;
     const double seconds = std::chrono::duration<double>(took).count();
     if (prefillTokens > 0 && seconds > 0)
-        target.prefillSpeed = std::max(target.prefillSpeed * speedDecay, prefillTokens / seconds);
+        target.prefillSpeed
+            = std::max(target.prefillSpeed * speedDecay, static_cast<double>(prefillTokens) / seconds);
+    report(target);
 }
 
-void target_registry::ended(
-    target_record& target, const routing::choice_ticket& ticket, base::duration took)
+void target_registry::ended(target_record& target, const target_load& work, base::duration took)
 {
-    --target.running;
+    target.own -= work;
     const double seconds = std::chrono::duration<double>(took).count();
     target.serviceSeconds += (target.serviceSeconds == 0 ? 1.0 : smoothing) * (seconds - target.serviceSeconds);
-    if (!target.gone)
-        m_table.recordEnd(ticket, m_clock.now());
+    report(target);
 }
 
-void target_registry::loadStated(target_record& target, const stated_load& load)
+std::vector<load_digest::entry> target_registry::ownLoads() const
 {
-    if (!target.gone)
-        report(target, load);
+    std::vector<load_digest::entry> loads;
+    for (const auto& [id, target] : m_targets)
+        if (target->own != target_load {})
+            loads.push_back({ .target = target->hash, .load = target->own });
+    return loads;
+}
+
+void target_registry::addPeerLoad(const load_digest::entry& item, bool add)
+{
+    const auto found = m_byHash.find(item.target);
+    if (found == m_byHash.end())
+        return;
+    target_record& target = *found->second;
+    if (add)
+        target.peers += item.load;
+    else
+        target.peers -= item.load;
+}
+
+void target_registry::setPeerLoad(
+    std::string_view process, const std::vector<load_digest::entry>& loads)
+{
+    peer_load& told = m_peerLoads[std::string(process)];
+    for (const load_digest::entry& item : told.entries)
+        addPeerLoad(item, false);
+    for (const load_digest::entry& item : loads)
+        addPeerLoad(item, true);
+    reportAll(told.entries);
+    reportAll(loads);
+    if (loads.empty())
+        m_peerLoads.erase(m_peerLoads.find(process));
+    else
+        told = { .at = m_clock.now(), .entries = loads };
+}
+
+void target_registry::reportAll(const std::vector<load_digest::entry>& entries)
+{
+    for (const load_digest::entry& item : entries)
+        if (const auto found = m_byHash.find(item.target); found != m_byHash.end())
+            report(*found->second);
 }
 
-void target_registry::report(target_record& target, const stated_load& load)
+void target_registry::report(target_record& target)
 {
-    // A target does not say how much it has still to prefill; that of the other processes is taken to be in
-    // proportion to their requests.
-    const double factor
-        = target.running > 0 ? std::max(1.0, static_cast<double>(load.running) / target.running) : 1.0;
+    if (target.gone)
+        return;
+    target_load all = target.own;
+    all += target.peers;
+    int running = std::max(all.requests, 0);
+    int slots = std::max(target.registration.slots, 1);
+    // Memory binds an engine before its slots do, so both are counted in requests of the mean size.
+    const service_info* service
+        = m_config ? m_config->findService(target.registration.service) : nullptr;
+    const double mean = m_meanTokens[target.registration.service];
+    if (service && service->engine && service->engine->contextTokens > 0 && mean > 0) {
+        running = std::max(running, static_cast<int>(static_cast<double>(all.tokens) / mean));
+        slots = std::clamp(
+            static_cast<int>(static_cast<double>(service->engine->contextTokens) / mean), 1, slots);
+    }
     m_table.report(target.index,
-        { .running = load.running,
-            .queued = load.queued,
-            .slots = std::max(load.slots, 1),
-            .pendingPrefillTokens = static_cast<std::int64_t>(
-                factor * static_cast<double>(std::max<std::int64_t>(target.pendingPrefill, 0))),
+        { .running = running,
+            .slots = slots,
+            .pendingPrefillTokens = std::max<std::int64_t>(all.prefillTokens, 0),
             .prefillTokensPerSecond = target.prefillSpeed,
             .serviceTime = base::duration(static_cast<std::int64_t>(target.serviceSeconds * 1e6)) },
         m_clock.now());
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "intake_limiter.h"
+#include "load_digest.h"
 #include "relay_config.h"
 #include "wire_dialect.h"
 
@@ -10,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace marigold::relay {
@@ -20,8 +22,9 @@
     routing::target_index index = routing::noTarget;
     base::time_point coldUntil {};
     intake_limiter intake;
-    int running = 0; ///< Requests of this process.
-    std::int64_t pendingPrefill = 0; ///< Prompt tokens of this process whose first token has not come.
+    std::uint64_t hash = 0; ///< Of its id; names it in digests.
+    target_load own; ///< Unfinished work of this process.
+    target_load peers; ///< Of the other processes, as far as told.
     double prefillSpeed = 0; ///< Tokens a second, the best seen lately.
     double serviceSeconds = 0; ///< Smoothed duration of a run.
     bool gone = false;
@@ -35,6 +38,8 @@
         /// A target that is missing when the list is read again after an outage of its store may be about to
         /// register anew, so it is kept this long.
         base::duration missingGrace = std::chrono::milliseconds(2300);
+        /// The work of a peer that has told nothing for this long is over or told elsewhere.
+        base::duration peerSilence = std::chrono::milliseconds(1500);
     };
 
     target_registry(const base::clock& time, options opts);
@@ -46,7 +51,8 @@
     /// Drops the targets whose ids are not in \a present, after the grace time.
     void keepOnly(const std::vector<std::string>& present);
 
-    /// Drops what has been missing for the grace time; to be called now and then.
+    /// Drops what has been missing for the grace time, and the load told by peers that have fallen silent; to
+    /// be called now and then.
     void removeMissing();
 
     void setConfig(std::shared_ptr<const relay_config> config);
@@ -65,11 +71,32 @@
     /// Returns true if the bound on the intake of \a target allows one more request.
     bool mayTake(target_record& target) const;
 
-    /// Records a request that is sent to \a target.
-    routing::choice_ticket began(target_record& target, int prefillTokens);
-    void firstToken(target_record& target, int prefillTokens, base::duration took);
-    void ended(target_record& target, const routing::choice_ticket& ticket, base::duration took);
-    void loadStated(target_record& target, const stated_load& load);
+    /// Records a request that is sent to \a target, with its \a work.
+    void began(target_record& target, const target_load& work);
+
+    /// Records that the prefill of \a prefillTokens ended, \a took after the request was sent; a zero time
+    /// tells nothing of the speed.
+    void prefillEnded(target_record& target, std::int64_t prefillTokens, base::duration took);
+
+    /// Records the end of a request; \a work is what is left of it.
+    void ended(target_record& target, const target_load& work, base::duration took);
+
+    /// Unfinished work of this process at each target that has any.
+    std::vector<load_digest::entry> ownLoads() const;
+
+    /// Takes the unfinished work of \a process in place of what it told before.
+    void setPeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads);
+
+    /// Forgets the work of processes that are not in \a present.
+    template <typename Map> void keepPeers(const Map& present)
+    {
+        std::vector<std::string> gone;
+        for (const auto& [process, told] : m_peerLoads)
+            if (!present.contains(process))
+                gone.push_back(process);
+        for (const std::string& process : gone)
+            setPeerLoad(process, {});
+    }
 
     /// Records whether a request failed by a fault of \a target.
     void observe(target_record& target, bool failed);
@@ -89,7 +116,9 @@
 private:
     routing::target_info infoOf(const target_registration& registration) const;
     void noteVersions(const target_registration& registration);
-    void report(target_record& target, const stated_load& load);
+    void report(target_record& target);
+    void reportAll(const std::vector<load_digest::entry>& entries);
+    void addPeerLoad(const load_digest::entry& item, bool add);
 
     const base::clock& m_clock;
     options m_options;
@@ -102,6 +131,13 @@
     std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_newest; ///< By service.
     std::map<std::string, std::shared_ptr<target_record>, std::less<>> m_targets;
     std::vector<std::shared_ptr<target_record>> m_byIndex;
+    std::unordered_map<std::uint64_t, target_record*> m_byHash;
+    struct peer_load {
+        base::time_point at {};
+        std::vector<load_digest::entry> entries;
+    };
+    std::map<std::string, peer_load, std::less<>> m_peerLoads;
+    std::map<std::string, double, std::less<>> m_meanTokens; ///< Of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
 };
 
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -22,6 +22,7 @@
     return { .process = fmt::format("{}.{}", settings.process, random.hex(startBytes)),
         .failureDomain = settings.failureDomain,
         .callers = endpointOf(settings.callersAddress),
+        .peers = endpointOf(settings.peersAddress),
         .readiness = endpointOf(settings.readinessAddress),
         .targetsCheckTokens = settings.targetsCheckTokens,
         .orderSettle = settings.orderSettle,
