Order weights a third at a time and free context of replaced weights

Ruled out: slow loads (0.29 s each). Change: a third of the targets is ordered at a time, those with least work first; a target under order is marked in the load digests and gets no requests; the holder of the order lease frees parts of replaced weights once all targets have newer ones for 1.5 s; scopes name the model as well.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -138,35 +138,18 @@
                 = { .at = m_clock.now(), .store = plan.saveTo[i]->text(), .tokens = parts[i].tokens };
 }
 
-std::vector<context_key> context_catalog::outdated(
-    const net::endpoint& address, const std::set<std::string, std::less<>>& scopes) const
+std::vector<context_key> context_catalog::select(const net::endpoint& address, std::size_t limit,
+    const std::function<bool(const context_key&)>& wanted) const
 {
     std::vector<context_key> keys;
     const auto found = m_stores.find(address.text());
     if (found == m_stores.end())
         return keys;
-    for (const auto& [key, part] : found->second.parts)
-        if (!scopes.contains(key.scope))
-            keys.push_back(key);
-    return keys;
-}
-
-std::vector<context_key> context_catalog::leastRecent(
-    const net::endpoint& address, std::int64_t tokens) const
-{
-    std::vector<context_key> keys;
-    const auto found = m_stores.find(address.text());
-    if (found == m_stores.end())
-        return keys;
-    std::vector<std::pair<base::time_point, const context_key*>> byUse;
-    for (const auto& [key, part] : found->second.parts)
-        byUse.emplace_back(part.lastUse, &key);
-    std::ranges::sort(byUse);
-    for (const auto& [lastUse, key] : byUse) {
-        if (tokens <= 0)
+    for (const auto& [key, part] : found->second.parts) {
+        if (keys.size() == limit)
             break;
-        tokens -= found->second.parts.at(*key).tokens;
-        keys.push_back(*key);
+        if (wanted(key))
+            keys.push_back(key);
     }
     return keys;
 }
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -4,12 +4,11 @@
 #include "wire_dialect.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace marigold::relay {
@@ -70,12 +69,9 @@
     /// Records that the saves of \a plan were sent with a request.
     void saving(std::string_view scope, std::span<const prompt_part> parts, const context_plan& plan);
 
-    /// Parts at \a address whose scope is not in \a scopes.
-    std::vector<context_key> outdated(
-        const net::endpoint& address, const std::set<std::string, std::less<>>& scopes) const;
-
-    /// Parts at \a address that were used least recently, \a tokens or a little more of them.
-    std::vector<context_key> leastRecent(const net::endpoint& address, std::int64_t tokens) const;
+    /// Returns up to \a limit parts at \a address that \a wanted accepts.
+    std::vector<context_key> select(const net::endpoint& address, std::size_t limit,
+        const std::function<bool(const context_key&)>& wanted) const;
 
     /// Forgets parts that are being freed, so that nothing fetches them any more.
     void forget(const net::endpoint& address, std::span<const context_key> keys);
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t fieldsOfEntry = 4;
+constexpr std::size_t fieldsOfEntry = 5;
 
 } // namespace
 
@@ -17,6 +17,7 @@
     requests += other.requests;
     prefillTokens += other.prefillTokens;
     tokens += other.tokens;
+    loading += other.loading;
     return *this;
 }
 
@@ -25,6 +26,7 @@
     requests -= other.requests;
     prefillTokens -= other.prefillTokens;
     tokens -= other.tokens;
+    loading -= other.loading;
     return *this;
 }
 
@@ -37,6 +39,7 @@
         numbers.push_back(item.load.requests);
         numbers.push_back(item.load.prefillTokens);
         numbers.push_back(item.load.tokens);
+        numbers.push_back(item.load.loading);
     }
     std::string bytes;
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers) }), bytes);
@@ -53,7 +56,8 @@
             digest.entries.push_back({ .target = numbers.at(i),
                 .load = { .requests = numbers.at(i + 1),
                     .prefillTokens = numbers.at(i + 2),
-                    .tokens = numbers.at(i + 3) } });
+                    .tokens = numbers.at(i + 3),
+                    .loading = numbers.at(i + 4) } });
         return digest;
     } catch (const json::exception& problem) {
         return base::notRun(base::error_reason::InvalidRequest, problem.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -14,6 +14,7 @@
     int requests = 0;
     std::int64_t prefillTokens = 0; ///< Of prompts whose first token has not come.
     std::int64_t tokens = 0; ///< That the requests occupy at their end.
+    int loading = 0; ///< Nonzero while the target is ordered to load weights; it gets no requests then.
 
     target_load& operator+=(const target_load& other);
     target_load& operator-=(const target_load& other);
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -22,7 +22,7 @@
     , m_options(std::move(opts))
     , m_pool(loop, time, {})
     , m_targets(time, { .failureDomain = m_options.failureDomain })
-    , m_chooser(time, m_targets, { .oldWeightsLimit = m_options.versionLimit * 4 / 5 })
+    , m_chooser(time, m_targets, { .oldWeightsLimit = m_options.versionLimit * 7 / 10 })
     , m_catalog(time, {})
     , m_retryBudget({ .percent = static_cast<int>(m_options.retryShare * 75),
           .initial = 3,
@@ -46,6 +46,7 @@
               .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log, { .process = m_options.process })
     , m_contextFollower(m_catalog, ports.context, loop, {})
+    , m_contextKeeper(m_catalog, m_contextFollower, ports.context, m_lease, m_targets, time, log, {})
     , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { m_loads.received(bytes); })
     , m_loads(m_targets, loop,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
@@ -102,6 +103,7 @@
 {
     m_targets.removeMissing();
     m_rollout.step();
+    m_contextKeeper.sweep();
 }
 
 void relay_server::setConfig(std::shared_ptr<const relay_config> config)
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -2,6 +2,7 @@
 
 #include "caller_listener.h"
 #include "context_follower.h"
+#include "context_keeper.h"
 #include "load_exchange.h"
 #include "order_lease_holder.h"
 #include "presence.h"
@@ -89,6 +90,7 @@
     order_lease_holder m_lease;
     weights_rollout m_rollout;
     context_follower m_contextFollower;
+    context_keeper m_contextKeeper;
     std::set<std::string, std::less<>> m_excluded;
     std::map<std::string, net::endpoint> m_processes;
     std::unordered_map<relay_session*, std::unique_ptr<relay_session>> m_sessions;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -1,5 +1,6 @@
 #include "relay_session.h"
 
+#include "context_scope.h"
 #include "events.h"
 
 #include <algorithm>
@@ -115,16 +116,16 @@
 
 void relay_session::setScope(int weightVersion)
 {
-    m_scope = fmt::format(
-        "{}/{}", weightVersion, m_team && m_team->isolated ? std::string_view(m_team->name) : "");
+    m_scope = context_scope { .model = m_request.model,
+        .weightVersion = weightVersion,
+        .isolatedTeam = m_team && m_team->isolated ? m_team->name : std::string() }
+                  .text();
 }
 
 void relay_session::dispatch()
 {
     const std::size_t shared = m_request.parts.empty() ? 0 : m_request.parts.size() - 1;
-    int sharedTokens = 0;
-    for (std::size_t i = 0; i < shared; ++i)
-        sharedTokens += m_request.parts[i].tokens;
+    const int sharedTokens = m_request.sharedTokens();
     setScope(m_services.targets.newestVersion(m_service->name, m_request.model));
     m_context = m_services.context.plan(m_scope, m_request.parts);
     const placement found = m_services.chooser.choose({ .service = m_service->name,
@@ -215,6 +216,10 @@
     constexpr int misdirected = 421;
     if (answer.notRun || head.status == misdirected) {
         m_answer = answer_state::Refused;
+        // Most often the target has changed its weights since it was last heard of.
+        if (head.status == misdirected && !answer.weightVersion)
+            m_services.targets.versionSeen(*m_target, m_request.model,
+                m_services.targets.newestVersion(m_service->name, m_request.model));
         return true;
     }
     constexpr int firstFailure = 400;
@@ -407,6 +412,10 @@
             { "age_ms", std::to_string(elapsed().count() / 1000) },
             { "first_ms",
                 m_firstByteAfter ? std::to_string(m_firstByteAfter->count() / 1000) : std::string("-") },
+            { "prompt_tokens", std::to_string(m_request.promptTokens) },
+            { "shared_tokens", std::to_string(m_request.sharedTokens()) },
+            { "kept_tokens", std::to_string(m_context.keptTokens) }, { "scope", m_scope },
+            { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
             { "reason", std::string(reason) } });
     m_finished(*this);
 }
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -1,5 +1,7 @@
 #include "target_chooser.h"
 
+#include <algorithm>
+
 namespace marigold::relay {
 
 target_chooser::target_chooser(const base::clock& time, target_registry& targets, options opts)
@@ -21,11 +23,13 @@
     const auto named = m_named.find(request.model);
     if (request.model.empty() || named == m_named.end())
         return {};
-    const bool late = m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
-    const double share
-        = m_targets.shareWithVersion(request.service, request.model, named->second.version);
-    return late || share >= m_options.newWeightsShare ? std::to_string(named->second.version)
-                                                      : std::string();
+    // Targets may have weights whose naming has not reached this process yet.
+    const int newest = m_targets.newestVersion(request.service, request.model);
+    const int wanted = std::max(named->second.version, newest);
+    const bool late = wanted == named->second.version
+        && m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
+    const double share = m_targets.shareWithVersion(request.service, request.model, wanted);
+    return late || share >= m_options.newWeightsShare ? std::to_string(wanted) : std::string();
 }
 
 placement target_chooser::choose(const placement_request& request)
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -167,6 +167,12 @@
     report(target);
 }
 
+void target_registry::setLoading(target_record& target, bool loading)
+{
+    target.own.loading = loading ? 1 : 0;
+    report(target);
+}
+
 std::vector<load_digest::entry> target_registry::ownLoads() const
 {
     std::vector<load_digest::entry> loads;
@@ -217,6 +223,7 @@
         return;
     target_load all = target.own;
     all += target.peers;
+    m_table.setTakenOut(target.index, all.loading > 0);
     int running = std::max(all.requests, 0);
     int slots = std::max(target.registration.slots, 1);
     // Memory binds an engine before its slots do, so both are counted in requests of the mean size.
@@ -270,6 +277,20 @@
     return found == models->second.end() ? 0 : found->second;
 }
 
+std::map<std::string, int> target_registry::oldestVersions() const
+{
+    std::map<std::string, int> oldest;
+    for (const auto& [id, target] : m_targets) {
+        if (target->registration.draining)
+            continue;
+        for (const auto& [model, version] : target->registration.weightVersions) {
+            const auto [known, isNew] = oldest.emplace(model, version);
+            known->second = std::min(known->second, version);
+        }
+    }
+    return oldest;
+}
+
 double target_registry::shareWithVersion(
     std::string_view service, std::string_view model, int version) const
 {
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -81,6 +81,9 @@
     /// Records the end of a request; \a work is what is left of it.
     void ended(target_record& target, const target_load& work, base::duration took);
 
+    /// Marks that this process has \a target load weights, so that no process sends requests there.
+    void setLoading(target_record& target, bool loading);
+
     /// Unfinished work of this process at each target that has any.
     std::vector<load_digest::entry> ownLoads() const;
 
@@ -107,6 +110,9 @@
     /// Newest weights of \a model that a target of \a service was seen with; 0 if none.
     int newestVersion(std::string_view service, std::string_view model) const;
 
+    /// Oldest weights that any target has, by model; targets that drain do not count.
+    std::map<std::string, int> oldestVersions() const;
+
     /// Share of the targets of \a service that have at least \a version of \a model.
     double shareWithVersion(std::string_view service, std::string_view model, int version) const;
 
--- a/src/libs/relay/weights_rollout.cpp
+++ b/src/libs/relay/weights_rollout.cpp
@@ -72,19 +72,28 @@
 void weights_rollout::step()
 {
     if (!m_lease.mayOrder()) {
-        m_work.clear();
+        while (!m_work.empty())
+            forget(m_work.begin()->first);
         if (!m_named.empty())
             stepLater();
         return;
     }
     std::erase_if(m_work, [&](const auto& entry) { return !m_targets.targets().contains(entry.first); });
+    std::vector<std::shared_ptr<target_record>> byLoad;
+    for (const auto& [id, target] : m_targets.targets())
+        byLoad.push_back(target);
+    // A target with few requests is done soon, and the requests that it would begin go to new weights sooner.
+    std::ranges::stable_sort(byLoad, {}, [](const auto& target) {
+        return target->own.requests + target->peers.requests;
+    });
     std::map<std::string, std::size_t, std::less<>> loading;
     for (const auto& [id, item] : m_work)
         ++loading[m_targets.targets().find(id)->second->registration.service];
-    for (const auto& [id, target] : m_targets.targets()) {
+    for (const auto& target : byLoad) {
+        const std::string& id = target->registration.id;
         std::string model;
         if (!isOutdated(*target, &model)) {
-            m_work.erase(id);
+            forget(id);
             continue;
         }
         const auto known = m_work.find(id);
@@ -97,12 +106,20 @@
         if (busy >= mayLoad(target->registration.service))
             continue;
         ++busy;
-        m_work[id] = { .since = m_clock.now() };
+        m_work[id] = {};
         ask(target, model);
     }
     stepLater();
 }
 
+void weights_rollout::forget(const std::string& id)
+{
+    if (const auto target = m_targets.targets().find(id);
+        target != m_targets.targets().end() && m_work.contains(id))
+        m_targets.setLoading(*target->second, false);
+    m_work.erase(id);
+}
+
 void weights_rollout::ask(const std::shared_ptr<target_record>& target, const std::string& model)
 {
     m_work[target->registration.id].at = phase::Asking;
@@ -112,7 +129,7 @@
             return;
         if (!report) {
             // Its place is for a target that answers; this one is tried again in its turn.
-            m_work.erase(found);
+            forget(target->registration.id);
             return;
         }
         reported(target, model, *report);
@@ -128,7 +145,7 @@
         m_targets.versionSeen(*target, name, version);
     std::string outdated;
     if (!isOutdated(*target, &outdated)) {
-        m_work.erase(target->registration.id);
+        forget(target->registration.id);
         return step();
     }
     const bool pending = item.ordered && m_clock.now() - item.orderedAt < m_options.orderTimeout;
@@ -145,6 +162,7 @@
     item.at = phase::Ordering;
     item.ordered = true;
     item.orderedAt = m_clock.now();
+    m_targets.setLoading(*target, true);
     const weights_order wanted { .model = model,
         .version = m_named.at(model),
         .holder = m_options.process,
--- a/src/libs/relay/weights_rollout.h
+++ b/src/libs/relay/weights_rollout.h
@@ -19,9 +19,9 @@
 public:
     struct options {
         std::string process;
-        /// Share of a service's targets that load at a time; more share the source of the weights and load
-        /// more slowly, and the others must carry the requests meanwhile.
-        double loadingShare = 0.2;
+        /// Share of a service's targets that are ordered at a time; the others carry the requests meanwhile.
+        /// Most of them are ending their runs, so that far fewer load at once.
+        double loadingShare = 0.34;
         base::duration pollInterval = std::chrono::milliseconds(150);
         /// An order that shows no effect for this long is given again.
         base::duration orderTimeout = std::chrono::milliseconds(1500);
@@ -44,12 +44,12 @@
     };
     struct work {
         phase at = phase::Asking;
-        base::time_point since {};
         base::time_point orderedAt {};
         bool ordered = false;
     };
 
     void stepLater();
+    void forget(const std::string& id);
     bool isOutdated(const target_record& target, std::string* model) const;
     std::size_t mayLoad(std::string_view service) const;
     void ask(const std::shared_ptr<target_record>& target, const std::string& model);
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -28,6 +28,9 @@
     std::vector<prompt_part> parts = {}; ///< In order; the last one belongs to this request or its session.
     int promptTokens = 0;
     int maxOutputTokens = 0;
+
+    /// Tokens of the parts that other prompts may share: all but the last.
+    int sharedTokens() const;
 };
 
 /// Load as a target states it with an answer.
