Measure prefill speed without backlog and presume no hit at the home

Engines keep a prefix for about 3 s at this load, prompts return after 10 s. Change: no presumption; speed from prompts of 2,000 tokens or more with nothing ahead, smoothed per target, with the service's mean until a target has its own.

--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -197,6 +197,7 @@
         .prefillTokens = m_request.promptTokens - m_context.keptTokens,
         .tokens = m_request.promptTokens + m_request.maxOutputTokens };
     m_firstTokenSeen = false;
+    m_hadPrefillAhead = target.own.prefillTokens + target.peers.prefillTokens > 0;
     m_services.targets.began(target, m_work);
     m_sentAt = now();
     m_answer = answer_state::None;
@@ -256,7 +257,8 @@
     if (!m_firstTokenSeen) {
         m_firstTokenSeen = true;
         m_services.targets.prefillEnded(
-            *m_target, std::exchange(m_work.prefillTokens, 0), now() - m_sentAt);
+            *m_target, std::exchange(m_work.prefillTokens, 0),
+            m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
         if (!m_firstByteAfter)
             m_firstByteAfter = elapsed();
     }
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -87,6 +87,7 @@
     target_load m_work; ///< What is left of this request at its target.
     base::time_point m_sentAt {};
     bool m_firstTokenSeen = false;
+    bool m_hadPrefillAhead = false; ///< The target had other prompts to prefill when this one was sent.
     int m_sends = 0;
     int m_possibleRuns = 0; ///< Sends that the target did not prove to be without effect.
     base::verdict m_verdict = base::verdict::NotRun; ///< Over all attempts.
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -50,7 +50,6 @@
                                            : base::hash64(request.sharedPart) | 1,
                                        .kept = { .tokens = request.keptTokens,
                                            .transferTime = request.transferTime },
-                                       .idleTime = std::chrono::seconds(1),
                                        .tried = request.tried },
             m_clock.now());
     if (decision.empty())
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -12,8 +12,8 @@
 /// Weight of a new sample in smoothed figures.
 constexpr double smoothing = 0.1;
 
-/// The best speed seen is forgotten slowly, since a target may become slower.
-constexpr double speedDecay = 0.995;
+/// A shorter prefill says more of fixed costs than of speed.
+constexpr std::int64_t prefillToMeasure = 2000;
 
 } // namespace
 
@@ -153,9 +153,12 @@
 {
     target.own.prefillTokens -= prefillTokens;
     const double seconds = std::chrono::duration<double>(took).count();
-    if (prefillTokens > 0 && seconds > 0)
-        target.prefillSpeed
-            = std::max(target.prefillSpeed * speedDecay, static_cast<double>(prefillTokens) / seconds);
+    if (prefillTokens >= prefillToMeasure && seconds > 0) {
+        const double speed = static_cast<double>(prefillTokens) / seconds;
+        double& usual = m_prefillSpeed[target.registration.service];
+        usual += (usual == 0 ? 1.0 : smoothing) * (speed - usual);
+        target.prefillSpeed += (target.prefillSpeed == 0 ? 1.0 : smoothing) * (speed - target.prefillSpeed);
+    }
     report(target);
 }
 
@@ -239,7 +242,8 @@
         { .running = running,
             .slots = slots,
             .pendingPrefillTokens = std::max<std::int64_t>(all.prefillTokens, 0),
-            .prefillTokensPerSecond = target.prefillSpeed,
+            .prefillTokensPerSecond
+            = target.prefillSpeed > 0 ? target.prefillSpeed : m_prefillSpeed[target.registration.service],
             .serviceTime = base::duration(static_cast<std::int64_t>(target.serviceSeconds * 1e6)) },
         m_clock.now());
 }
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -25,7 +25,7 @@
     std::uint64_t hash = 0; ///< Of its id; names it in digests.
     target_load own; ///< Unfinished work of this process.
     target_load peers; ///< Of the other processes, as far as told.
-    double prefillSpeed = 0; ///< Tokens a second, the best seen lately.
+    double prefillSpeed = 0; ///< Tokens a second, of prompts that had nothing before them; 0 if unknown.
     double serviceSeconds = 0; ///< Smoothed duration of a run.
     bool gone = false;
 };
@@ -74,8 +74,8 @@
     /// Records a request that is sent to \a target, with its \a work.
     void began(target_record& target, const target_load& work);
 
-    /// Records that the prefill of \a prefillTokens ended, \a took after the request was sent; a zero time
-    /// tells nothing of the speed.
+    /// Records that the prefill of \a prefillTokens ended; \a took is how long, or zero if it says nothing
+    /// of the speed, since the prompt had others before it.
     void prefillEnded(target_record& target, std::int64_t prefillTokens, base::duration took);
 
     /// Records the end of a request; \a work is what is left of it.
@@ -143,6 +143,7 @@
         std::vector<load_digest::entry> entries;
     };
     std::map<std::string, peer_load, std::less<>> m_peerLoads;
+    std::map<std::string, double, std::less<>> m_prefillSpeed; ///< Smoothed, by service.
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
 };
