Answer whole when a connection closes for planned work; renew watches in time; tests of the relay

Change: idle connections with unsent bytes end through the closing state, refused requests are read to their end before the close; watches have a patience of 1.3 s and a margin of 0.4 s.

--- a/cmake/marigold.cmake
+++ b/cmake/marigold.cmake
@@ -65,6 +65,15 @@
     endforeach()
 endfunction()
 
+# tests/platform/*.cpp is the test program of the adapter in the folder platform of the repository.
+function(marigold_add_adapter_test)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/platform/*.cpp)
+    add_executable(platform_adapter_test ${sources} ${CMAKE_CURRENT_SOURCE_DIR}/support/main.cpp)
+    target_include_directories(platform_adapter_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+    target_link_libraries(platform_adapter_test PRIVATE marigold_platform_adapter rapidcheck)
+    add_test(NAME platform_adapter COMMAND platform_adapter_test)
+endfunction()
+
 function(marigold_add_benches)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     foreach(source ${sources})
--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -60,7 +60,7 @@
 {
     auto* connection = static_cast<caller_connection*>(self);
     if (connection->m_state == state::Closing && evbuffer_get_length(bufferevent_get_output(events)) == 0)
-        connection->close();
+        connection->lastBytesWritten();
     else if (connection->m_handler)
         connection->m_handler->callerDrained();
 }
@@ -85,6 +85,10 @@
     if (m_state == state::Handling || m_state == state::Closing || m_state == state::Closed)
         return;
     evbuffer* input = bufferevent_get_input(m_events);
+    if (m_state == state::Lingering) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
     while (evbuffer_get_length(input) > 0) {
         if (m_state == state::Idle) {
             m_state = state::Reading;
@@ -121,7 +125,7 @@
 
 void caller_connection::refuse(int status)
 {
-    m_closeAfter = true;
+    m_closeAfter = m_refused = true;
     m_state = state::Handling;
     answer(status, {}, {});
 }
@@ -176,11 +180,8 @@
 void caller_connection::requestEnded()
 {
     m_handler = nullptr;
-    if (m_closeAfter || !m_keepAlive) {
-        m_state = state::Closing;
-        startTimer(closingLimit);
-        return;
-    }
+    if (m_closeAfter || !m_keepAlive)
+        return beginClosing();
     m_state = state::Idle;
     startTimer(m_options.limits.idleTimeout);
     // Bytes of the next request may be waiting; they are read after the present callback.
@@ -188,6 +189,24 @@
         bufferevent_trigger(m_events, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
 
+void caller_connection::beginClosing()
+{
+    m_state = state::Closing;
+    startTimer(closingLimit);
+    if (pendingBytes() == 0)
+        lastBytesWritten();
+}
+
+void caller_connection::lastBytesWritten()
+{
+    if (!m_refused)
+        return close();
+    // Closing with unread bytes resets the connection, and the caller would lose the refusal.
+    m_state = state::Lingering;
+    shutdown(bufferevent_getfd(m_events), SHUT_WR);
+    parse();
+}
+
 void caller_connection::abort()
 {
     m_handler = nullptr;
@@ -198,7 +217,7 @@
 {
     m_closeAfter = true;
     if (m_state == state::Idle)
-        close();
+        beginClosing();
 }
 
 std::size_t caller_connection::pendingBytes() const
--- a/src/libs/relay/caller_connection.h
+++ b/src/libs/relay/caller_connection.h
@@ -79,6 +79,7 @@
         Reading,
         Handling, ///< A whole request was read; the answer is not complete.
         Closing, ///< The last bytes are being written.
+        Lingering, ///< All is written; the rest of a refused request is read and dropped.
         Closed,
     };
 
@@ -90,6 +91,8 @@
     void headRead(message_head&& head);
     void refuse(int status);
     void requestEnded();
+    void beginClosing();
+    void lastBytesWritten();
     void close();
     void startTimer(base::duration limit);
     void stopTimer();
@@ -102,6 +105,7 @@
     message_head m_head;
     std::string m_body;
     bool m_tooLarge = false;
+    bool m_refused = false; ///< The request was not read to its end.
     bool m_keepAlive = true;
     bool m_closeAfter = false;
     state m_state = state::Idle;
--- a/src/libs/relay/state_follower.cpp
+++ b/src/libs/relay/state_follower.cpp
@@ -42,6 +42,8 @@
     if (item)
         return std::move(*item);
     m_log.write(events::stateRejected, { { "key", entry.key }, { "message", item.error().message } });
+    // A target whose entry cannot be read is not to be used; a configuration is not removed by this.
+    m_observer.removed(m_decoder.removed(entry.key));
     return {};
 }
 
--- a/src/libs/relay/state_follower.h
+++ b/src/libs/relay/state_follower.h
@@ -32,7 +32,9 @@
     struct options {
         /// Pause between two watches, which bundles changes: each watch is a call that is paid for.
         base::duration watchPause = std::chrono::milliseconds(300);
-        base::duration watchPatience = std::chrono::seconds(10);
+        /// A watch may fall silent without an error, so that it is renewed often enough for a change of the
+        /// configuration to be in force within two seconds.
+        base::duration watchPatience = std::chrono::milliseconds(1300);
         base::duration firstRetry = std::chrono::milliseconds(100);
         base::duration longestRetry = std::chrono::milliseconds(800);
         std::string prefix = {}; ///< Of the keys to follow; empty for all.
--- /dev/null
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -0,0 +1,115 @@
+#include <relay/context_scope.h>
+#include <relay/event_scanner.h>
+#include <relay/intake_limiter.h>
+#include <relay/load_digest.h>
+#include <relay/relay_config.h>
+
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+
+using namespace marigold;
+using namespace marigold::relay;
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    // Guards against a request that runs at the service of a shorter route or of another host.
+    const relay_config config({ .version = 1,
+        .routes = { { .name = "short", .host = "a", .prefix = "/x/" },
+            { .name = "long", .host = "a", .prefix = "/x/y/" },
+            { .name = "other", .host = "b", .prefix = "/" } } });
+    const auto nameAt = [&](std::string_view host, std::string_view path) -> std::string {
+        const route* found = config.findRoute(host, path);
+        return found ? found->name : "";
+    };
+    CHECK(nameAt("a", "/x/1") == "short");
+    CHECK(nameAt("a", "/x/y/1") == "long");
+    CHECK(nameAt("a", "/x/y") == "short");
+    CHECK(nameAt("a", "/x?q=/y/") == "");
+    CHECK(nameAt("a", "/z") == "");
+    CHECK(nameAt("b", "/x/y/1") == "other");
+    CHECK(nameAt("c", "/x/1") == "");
+}
+
+TEST_CASE("events are passed on whole and unchanged")
+{
+    // Guards against a resumed stream that repeats or lacks bytes of the event that broke off.
+    CHECK(rc::check("scanner", [] {
+        std::string stream;
+        const int events = *rc::gen::inRange(0, 12);
+        const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
+        for (int i = 1; i <= events; ++i)
+            stream += "id: " + std::to_string(i) + end + "data: x" + std::to_string(i) + end + end;
+        const std::string partial = "id: 999" + end + "data: bro";
+        const std::string all = stream + partial;
+        event_scanner scanner;
+        std::string passed;
+        for (std::size_t at = 0; at < all.size();) {
+            const auto step = *rc::gen::inRange<std::size_t>(1, 20);
+            passed += scanner.feed(std::string_view(all).substr(at, step));
+            at += step;
+        }
+        RC_ASSERT(passed == stream);
+        RC_ASSERT(scanner.lastId() == (events == 0 ? "" : std::to_string(events)));
+        RC_ASSERT(scanner.takePartial() == partial);
+    }));
+}
+
+TEST_CASE("all processes together stay under what a cold target bears")
+{
+    // Guards against a cold target that falls over under the sum of what several processes send.
+    CHECK(rc::check("cold", [] {
+        const int processes = *rc::gen::inRange(1, 12);
+        const double bound = *rc::gen::inRange(14, 60);
+        const intake_share share { .targetPerSecond = bound, .processes = processes, .cold = true };
+        std::vector<intake_limiter> limiters(static_cast<std::size_t>(processes));
+        std::vector<base::time_point> sent;
+        base::time_point now {};
+        for (int i = 0; i < 400; ++i) {
+            now += base::duration(*rc::gen::inRange(0, 20'000));
+            intake_limiter& limiter = limiters[*rc::gen::inRange<std::size_t>(0, limiters.size())];
+            if (!limiter.allows(share.perSecond(), now))
+                continue;
+            limiter.sent(now);
+            sent.push_back(now);
+        }
+        for (std::size_t first = 0; first < sent.size(); ++first) {
+            std::size_t last = first;
+            while (last < sent.size() && sent[last] < sent[first] + std::chrono::seconds(1))
+                ++last;
+            RC_ASSERT(static_cast<double>(last - first) <= bound);
+        }
+    }));
+}
+
+TEST_CASE("scopes and digests survive their encoding")
+{
+    // Guards against context of other weights or of an isolated team that looks like one's own.
+    CHECK(rc::check("scope", [] {
+        const context_scope scope { .model = *rc::gen::element<std::string>("m", "a/b", "x-1"),
+            .weightVersion = *rc::gen::inRange(0, 1000),
+            .isolatedTeam = *rc::gen::element<std::string>("", "team") };
+        const auto read = context_scope::parse(scope.text());
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->model == scope.model);
+        RC_ASSERT(read->weightVersion == scope.weightVersion);
+        RC_ASSERT(read->isolatedTeam == scope.isolatedTeam);
+    }));
+    CHECK_FALSE(context_scope::parse("").has_value());
+    CHECK_FALSE(context_scope::parse("v1").has_value());
+    CHECK_FALSE(context_scope::parse("1").has_value());
+
+    const load_digest digest { .process = "p",
+        .sequence = 7,
+        .entries = { { .target = ~0ULL,
+            .load = { .requests = 2, .prefillTokens = 30, .tokens = 400, .loading = 1 } } } };
+    const auto read = decodeLoadDigest(encode(digest));
+    REQUIRE(read);
+    CHECK(read->process == "p");
+    CHECK(read->sequence == 7);
+    REQUIRE(read->entries.size() == 1);
+    CHECK(read->entries[0].target == digest.entries[0].target);
+    CHECK(read->entries[0].load == digest.entries[0].load);
+    CHECK_FALSE(decodeLoadDigest("garbage"));
+    CHECK_FALSE(decodeLoadDigest(encode(digest).substr(0, 9)));
+}
--- /dev/null
+++ b/tests/platform/clients_test.cpp
@@ -0,0 +1,187 @@
+#include <net/net.h>
+#include <platform_adapter.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+using namespace marigold;
+using namespace marigold::platform_adapter;
+using nlohmann::json;
+
+namespace {
+
+/// A scripted peer: answers every request with `status` and `body`, and keeps what it was asked.
+struct scripted_peer {
+    net::event_loop loop;
+    net::http_client client { loop };
+    std::unique_ptr<net::http_server> server;
+    int status = 200;
+    std::string body = "{}";
+    std::vector<std::string> bodies; ///< One for each further call, before `body` is used.
+    std::string method, path, sentBody, query;
+    std::string waited;
+
+    scripted_peer()
+    {
+        server = std::make_unique<net::http_server>(loop, net::http_server::options {},
+            [this](const std::shared_ptr<net::http_exchange>& exchange) {
+                method = exchange->method();
+                path = exchange->path();
+                sentBody = exchange->body();
+                query = exchange->query("Prefix").value_or("") + "|" + exchange->query("after").value_or("") + "|"
+                    + exchange->query("Key").value_or("") + "|" + exchange->query("Since").value_or("");
+                waited = exchange->header("Wait-Ms").value_or("");
+                std::string text = body;
+                if (!bodies.empty()) {
+                    text = bodies.front();
+                    bodies.erase(bodies.begin());
+                }
+                exchange->reply({ .status = status, .body = text });
+            });
+        REQUIRE(server->listen());
+    }
+
+    net::endpoint address() const { return { .address = "127.0.0.1", .port = server->port() }; }
+
+    /// Runs \a call, which gets a callback, until it was answered.
+    template <typename T> base::result<T> run(const std::function<void(std::function<void(base::result<T>)>)>& call)
+    {
+        base::result<T> outcome = base::notRun(base::error_reason::Internal, "no answer");
+        call([&](base::result<T> result) {
+            outcome = std::move(result);
+            loop.stop();
+        });
+        loop.run();
+        return outcome;
+    }
+};
+
+const std::string item = R"({"Key":"a/b","Value":"bm9kZS0x","Rev":412,"Created":400,"Lease":0})";
+
+} // namespace
+
+TEST_CASE("reads of the store are decoded")
+{
+    // Guards against values, revisions and pages that are lost on the way.
+    scripted_peer peer;
+    store_client store(peer.client, { .store = peer.address() });
+    peer.body = item.substr(0, item.size() - 1) + R"(,"At":530})";
+    const auto entry = peer.run<std::optional<platform::kv_entry>>([&](auto done) { store.get("a/b", done); });
+    REQUIRE(entry);
+    REQUIRE(*entry);
+    CHECK((*entry)->value == "node-1");
+    CHECK((*entry)->revision == 412);
+    CHECK((*entry)->createdRevision == 400);
+    CHECK(peer.query == "||a/b|");
+
+    peer.bodies = { R"({"items":[)" + item + R"(],"Truncated":true,"At":530})",
+        R"({"items":[{"Key":"z","Value":"","Rev":5,"Created":5,"Lease":0}],"Truncated":false,"At":540})" };
+    const auto all = peer.run<platform::kv_snapshot>([&](auto done) { store.snapshot("", done); });
+    REQUIRE(all);
+    CHECK(all->revision == 530); // a watch from the first page misses nothing of the later ones
+    REQUIRE(all->entries.size() == 2);
+    CHECK(all->entries[1].key == "z");
+    CHECK(peer.query == "|a/b||");
+
+    peer.body = R"({"Events":[)" + item
+        + R"(,{"Key":"old","Rev":413,"Deleted":true},{"Key":"a/c","Rev":414,"Deleted":true},)"
+          R"({"Key":"a/c","Value":"eA==","Rev":415,"Created":415,"Lease":0}],"At":415})";
+    const auto batch = peer.run<platform::kv_watch_batch>(
+        [&](auto done) { store.watch("a/", 411, std::chrono::seconds(1), done); });
+    REQUIRE(batch);
+    CHECK(batch->revision == 415);
+    CHECK(batch->removals == std::vector<std::string> { "old" });
+    REQUIRE(batch->changes.size() == 2);
+    CHECK(batch->changes[1].value == "x");
+}
+
+TEST_CASE("writes of the store carry their condition, and refusals say that nothing was done")
+{
+    // Guards against a write without its condition, and against a refusal that is taken for a lost answer.
+    scripted_peer peer;
+    store_client store(peer.client, { .store = peer.address() });
+    peer.body = R"({"Rev":413})";
+    const auto written = peer.run<std::uint64_t>([&](auto done) {
+        store.put({ .key = "k", .value = "node-1", .expectedRevision = 0, .lease = 7 }, done);
+    });
+    REQUIRE(written);
+    CHECK(*written == 413);
+    CHECK(json::parse(peer.sentBody)
+        == json::parse(R"({"Expected":[{"Key":"k","Rev":0}],"Puts":[{"Key":"k","Value":"bm9kZS0x","Lease":7}],"Remove":[]})"));
+    peer.body = R"({"Lease":77120,"TtlMs":3000})";
+    CHECK(*peer.run<std::uint64_t>([&](auto done) { store.grantLease(std::chrono::seconds(3), done); }) == 77120);
+    CHECK(json::parse(peer.sentBody) == json::parse(R"({"TtlMs":3000})"));
+
+    struct row {
+        int status;
+        base::error_reason reason;
+    };
+    for (const row& expected : { row { 412, base::error_reason::Conflict }, row { 404, base::error_reason::NotFound },
+             row { 410, base::error_reason::NotFound }, row { 429, base::error_reason::Overloaded },
+             row { 503, base::error_reason::Unavailable } }) {
+        peer.status = expected.status;
+        const auto refused = peer.run<std::uint64_t>([&](auto done) { store.put({ .key = "k" }, done); });
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().reason == expected.reason);
+        CHECK(refused.error().verdict == base::verdict::NotRun);
+    }
+    peer.status = 200;
+    peer.body = "{";
+    const auto malformed = peer.run<std::uint64_t>([&](auto done) { store.put({ .key = "k" }, done); });
+    REQUIRE_FALSE(malformed);
+    CHECK(malformed.error().verdict == base::verdict::MayHaveRun);
+}
+
+TEST_CASE("reports, orders and events of targets are translated")
+{
+    // Guards against an order without its token and against events that are read in the wrong order.
+    scripted_peer peer;
+    target_client client(peer.client, {});
+    const relay::target_registration target { .id = "i-1", .address = peer.address() };
+    peer.body = R"({"Stage":"colocated","Models":[{"Name":"m","Version":3,"Adapters":[]}],"Busy":true,"Seq":2})";
+    const auto report = peer.run<relay::target_report>([&](auto done) { client.report(target, done); });
+    REQUIRE(report);
+    CHECK(report->weightVersions.at("m") == 3);
+    CHECK(report->busy);
+    CHECK(report->ordersAccepted == 2);
+
+    const relay::weights_order order { .model = "m", .version = 4, .holder = "p", .token = 41, .ordersBefore = 2 };
+    struct row {
+        int status;
+        relay::order_answer answer;
+    };
+    for (const row& expected : { row { 202, relay::order_answer::Accepted },
+             row { 200, relay::order_answer::AlreadyHolds }, row { 409, relay::order_answer::Conflict },
+             row { 412, relay::order_answer::StaleToken }, row { 421, relay::order_answer::OtherTarget },
+             row { 400, relay::order_answer::Invalid } }) {
+        peer.status = expected.status;
+        const auto answer
+            = peer.run<relay::order_answer>([&](auto done) { client.order(target, order, done); });
+        REQUIRE(answer);
+        CHECK(*answer == expected.answer);
+    }
+    CHECK(json::parse(peer.sentBody)
+        == json::parse(R"({"Op":"Version","Model":"m","Version":4,"SwitchMode":"queue","Holder":"p","Fence":41,"Expected":2})"));
+    peer.status = 500;
+    CHECK(peer.run<relay::order_answer>([&](auto done) { client.order(target, order, done); }).error().verdict
+        == base::verdict::MayHaveRun);
+
+    peer.status = 200;
+    peer.body = R"({"Epoch":77120,"Next":120,"Lost":false,"Events":[[119,"+","s1","5c",800,"m"],[120,"-","s1","91",128,"m"]]})";
+    const auto events = peer.run<relay::context_event_batch>(
+        [&](auto done) { client.events(peer.address(), 118, std::chrono::milliseconds(800), done); });
+    REQUIRE(events);
+    CHECK(peer.query == "|||118");
+    CHECK(peer.waited == "800");
+    CHECK(events->epoch == 77120);
+    REQUIRE(events->events.size() == 2);
+    CHECK(events->events[0].stored);
+    CHECK(events->events[0].scope == "s1");
+    CHECK(events->events[0].tokens == 800);
+    CHECK_FALSE(events->events[1].stored);
+}
--- /dev/null
+++ b/tests/platform/entry_decoder_test.cpp
@@ -0,0 +1,116 @@
+#include <platform_adapter.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace marigold;
+using namespace marigold::platform_adapter;
+
+namespace {
+
+base::result<relay::state_item> decode(std::string key, std::string value)
+{
+    return entry_decoder().decode(
+        { .key = std::move(key), .value = std::move(value), .revision = 9, .createdRevision = 5 });
+}
+
+const std::string goodTarget
+    = R"({"Service":"s","Address":"10.128.0.9:8080","Zone":"z","Version":"v1","Slots":64,"State":"ready",)"
+      R"("ColdRemainingMs":1500,"Models":[{"Name":"m","Version":2,"Adapters":[]}],"Seq":4,"born":17})";
+
+const std::string goodConfig
+    = R"({"Version":7,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Kind":"streaming","TimeoutMs":3000,)"
+      R"("TargetLatencyMs":500,"Priority":1,"TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],)"
+      R"("MaxAttempts":2,"Anonymous":false,"Sticky":true,"Resumable":true,"GapTargetMs":300}],)"
+      R"("Services":[{"Name":"k","KvStoreAddr":"1.2.3.4:5","Zone":"z","KvCapacityTokens":223425,"LinkMbps":810000.0,)"
+      R"("MaxInflight":12,"Managed":true,"first_ms":0.5},{"Name":"s","MaxConnections":360,"ColdPerS":9.6,)"
+      R"("Engine":{"Slots":64,"KvCapacityTokens":86618,"KvTokenBytes":163840,"LinkMbps":550000.0,"Models":[{"Name":"m"}]}}],)"
+      R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
+      R"("Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Isolated":true}]})";
+
+} // namespace
+
+TEST_CASE("a configuration is read whole")
+{
+    // Guards against a limit or a budget that is silently replaced by a default.
+    const auto item = decode("op/config", goodConfig);
+    REQUIRE(item);
+    const auto config = std::get<std::shared_ptr<const relay::relay_config>>(*item);
+    CHECK(config->version() == 7);
+    CHECK(config->limits().maxBodyBytes == 4194304);
+    CHECK(config->limits().idleTimeout == std::chrono::seconds(15));
+    const relay::route* route = config->findRoute("h", "/a/x");
+    REQUIRE(route);
+    CHECK(route->kind == relay::request_kind::Stream);
+    CHECK(route->timeout == std::chrono::seconds(3));
+    CHECK(route->latencyGoal == std::chrono::milliseconds(500));
+    CHECK(route->maxAttempts == 2);
+    CHECK(route->resumable);
+    REQUIRE(route->shares.size() == 2);
+    CHECK(route->shares[1].weight == 10);
+    REQUIRE(config->findService("k"));
+    REQUIRE(config->findService("k")->store);
+    CHECK(config->findService("k")->store->firstByte == std::chrono::microseconds(500));
+    CHECK(config->findService("s")->engine->contextTokens == 86618);
+    CHECK(config->findService("s")->coldRequestsPerSecond == doctest::Approx(9.6));
+    REQUIRE(config->findTeam("k2"));
+    CHECK(config->findTeam("k2")->isolated);
+    CHECK(config->findTeam("k2")->priority == 1);
+    CHECK_FALSE(config->findTeam("k3"));
+}
+
+TEST_CASE("a registration is read, and a bad one is refused")
+{
+    // Guards against a target that another writer has made up or spoilt.
+    const auto item = decode("servers/i-1", goodTarget);
+    REQUIRE(item);
+    const auto target = std::get<relay::target_registration>(*item);
+    CHECK(target.id == "i-1");
+    CHECK(target.address.text() == "10.128.0.9:8080");
+    CHECK(target.failureDomain == "z");
+    CHECK(target.coldFor == std::chrono::milliseconds(1500));
+    CHECK(target.startedAtMs == 17);
+    CHECK(target.weightVersions.at("m") == 2);
+    CHECK_FALSE(target.draining);
+
+    const auto without = [](std::string text, const std::string& from, const std::string& to) {
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    const std::vector<std::string> bad { "", "{}", "[]", "null", "\xff\xfe", goodTarget.substr(0, 40),
+        without(goodTarget, "\"ready\"", "\"asleep\""), without(goodTarget, "\"Slots\":64", "\"Slots\":\"x\""),
+        without(goodTarget, "10.128.0.9:8080", "nowhere"), without(goodTarget, "\"Zone\":\"z\",", ""),
+        without(goodTarget, "\"Version\":2", "\"Version\":\"two\"") };
+    for (const std::string& text : bad) {
+        CAPTURE(text);
+        const auto refused = decode("servers/i-1", text);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().reason == base::error_reason::InvalidRequest);
+    }
+}
+
+TEST_CASE("the other entries are told apart by their keys")
+{
+    // Guards against an entry of one kind that is taken for another.
+    const auto named = decode("op/version/m", R"({"Model":"m","Version":2})");
+    REQUIRE(named);
+    CHECK(std::get<relay::weights_named>(*named).version == 2);
+    const auto excluded = decode("op/evacuate/z", "{}");
+    REQUIRE(excluded);
+    CHECK(std::get<relay::domain_excluded>(*excluded).failureDomain == "z");
+    const entry_decoder decoder;
+    const auto process = decode(decoder.processKey("p"), "1.2.3.4:7700");
+    REQUIRE(process);
+    CHECK(std::get<relay::process_present>(*process).id == "p");
+    CHECK(std::get<relay::process_present>(*process).address->port == 7700);
+    const auto lease = decode(decoder.orderLeaseKey(), "p");
+    REQUIRE(lease);
+    CHECK(std::get<relay::order_lease>(*lease).token == 5);
+    CHECK(std::holds_alternative<std::monostate>(*decode("status/x", "anything")));
+    CHECK_FALSE(decode("op/config", "{}"));
+    CHECK_FALSE(decode("op/version/m", R"({"Model":"m"})"));
+    CHECK(std::get<relay::target_registration>(decoder.removed("servers/i-1")).id == "i-1");
+    CHECK(std::holds_alternative<std::monostate>(decoder.removed("op/config")));
+}
--- /dev/null
+++ b/tests/platform/header_dialect_test.cpp
@@ -0,0 +1,120 @@
+#include <platform_adapter.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace marigold;
+using namespace marigold::platform_adapter;
+
+namespace {
+
+relay::message_head requestHead(std::vector<std::pair<std::string, std::string>> fields)
+{
+    relay::message_head head { .method = "POST", .target = "/a/b" };
+    for (auto& [name, value] : fields)
+        head.headers.add(std::move(name), std::move(value));
+    return head;
+}
+
+} // namespace
+
+TEST_CASE("the fields of a request are read")
+{
+    // Guards against a field of the wire that is taken for another one.
+    const header_dialect dialect;
+    const auto request = dialect.readRequest(requestHead({ { "Host", "h" }, { "X-Attempt-Id", "id" },
+        { "X-Model", "m" }, { "X-Token-Counts", "1460,80" }, { "X-Prompt-Prefix", "5c:800,91:410,e4:250" },
+        { "X-Deadline-Ms", "12000" }, { "Authorization", "Bearer key" } }));
+    REQUIRE(request);
+    CHECK(request->attemptId == "id");
+    CHECK(request->host == "h");
+    CHECK(request->key == "key");
+    CHECK(request->model == "m");
+    CHECK(request->promptTokens == 1460);
+    CHECK(request->maxOutputTokens == 80);
+    CHECK(request->timeLimit == std::chrono::seconds(12));
+    REQUIRE(request->parts.size() == 3);
+    CHECK(request->parts[1].id == "91");
+    CHECK(request->parts[1].tokens == 410);
+    CHECK(request->sharedTokens() == 1210);
+}
+
+TEST_CASE("requests without one host or id are refused; bad figures are ignored")
+{
+    // Guards against an answer that goes to the wrong request, and against a stop by a malformed figure.
+    const header_dialect dialect;
+    CHECK_FALSE(dialect.readRequest(requestHead({ { "Host", "h" } })));
+    CHECK_FALSE(dialect.readRequest(requestHead({ { "X-Attempt-Id", "id" } })));
+    CHECK_FALSE(dialect.readRequest(
+        requestHead({ { "Host", "h" }, { "X-Attempt-Id", "a" }, { "x-attempt-id", "b" } })));
+    CHECK_FALSE(
+        dialect.readRequest(requestHead({ { "Host", "h" }, { "host", "i" }, { "X-Attempt-Id", "a" } })));
+    auto absolute = requestHead({ { "Host", "h" }, { "X-Attempt-Id", "a" } });
+    absolute.target = "http://other/a";
+    CHECK_FALSE(dialect.readRequest(absolute));
+    const auto request = dialect.readRequest(requestHead({ { "Host", "h" }, { "X-Attempt-Id", "a" },
+        { "X-Deadline-Ms", "12x" }, { "X-Token-Counts", "," }, { "X-Prompt-Prefix", "a:1,b,c:3" } }));
+    REQUIRE(request);
+    CHECK_FALSE(request->timeLimit);
+    CHECK(request->promptTokens == 0);
+    CHECK(request->parts.size() == 1);
+}
+
+TEST_CASE("a target sees what the caller may say and what this process adds, and nothing else")
+{
+    // Guards against a caller that names its own team, place of memory or priority, and against a leaked key.
+    const header_dialect dialect;
+    const auto head = requestHead({ { "Host", "h" }, { "X-Attempt-Id", "id" }, { "X-Model", "m" },
+        { "Authorization", "Bearer key" }, { "X-Tenant", "forged" }, { "X-Cache-Salt", "forged" },
+        { "X-Kv-Hold", "1" }, { "X-Pin-Ms", "1" }, { "X-Kv-Backup", "1" }, { "Kv-From", "1" },
+        { "X-Kv-Fetch-From", "1" }, { "X-Request-Priority", "0" }, { "X-Deadline-Ms", "9999" },
+        { "Connection", "x-hop, x-model" }, { "X-Hop", "1" }, { "Content-Length", "4" },
+        { "Transfer-Encoding", "chunked" }, { "X-Other", "kept" }, { "X-Length-Hint", "3" } });
+    relay::context_plan plan { .fetchFrom = { std::nullopt, net::endpoint { .address = "1.2.3.4", .port = 5 } },
+        .saveTo = { std::nullopt, std::nullopt } };
+    const auto fields = dialect.forwardedFields(head,
+        { .attemptId = "id",
+            .timeLeft = std::chrono::milliseconds(700),
+            .targetId = "i-1",
+            .team = "team",
+            .weightVersion = 3,
+            .priority = 2,
+            .cacheScope = "scope",
+            .context = &plan,
+            .resumeAfter = "17" });
+    std::map<std::string, std::string> seen;
+    for (const auto& [name, value] : fields.fields()) {
+        CHECK_FALSE(seen.contains(name));
+        seen[name] = value;
+    }
+    const std::map<std::string, std::string> wanted { { "Host", "h" }, { "X-Attempt-Id", "id" },
+        { "X-Model", "m" }, { "X-Other", "kept" }, { "X-Length-Hint", "3" }, { "X-Deadline-Ms", "700" },
+        { "X-Expect-Instance", "i-1" }, { "X-Tenant", "team" }, { "X-Expect-Version", "3" },
+        { "X-Request-Priority", "2" }, { "X-Cache-Salt", "scope" }, { "X-Kv-Fetch-From", "-,1.2.3.4:5" },
+        { "Last-Event-Id", "17" } };
+    CHECK(seen == wanted);
+}
+
+TEST_CASE("what an answer says is read, and its fields are passed on")
+{
+    // Guards against a refusal that is taken for a run, and a success of somebody else.
+    const header_dialect dialect;
+    relay::message_head head { .status = 503 };
+    head.headers = { { "X-Attempt-Id", "id" }, { "X-Not-Run", "1" }, { "X-Server-Load", "3,1,8" },
+        { "X-Weight-Versions", "4" }, { "Keep-Alive", "timeout=3" }, { "X-Server-Seal", "seal" } };
+    const auto answer = dialect.readAnswer(head);
+    CHECK(answer.attemptId == "id");
+    CHECK(answer.notRun);
+    CHECK(answer.authentic);
+    CHECK_FALSE(answer.encoded);
+    CHECK(answer.weightVersion == 4);
+    REQUIRE(answer.load);
+    CHECK(answer.load->queued == 1);
+    const auto fields = dialect.answerFields(head);
+    CHECK(fields.find("X-Server-Seal") == "seal");
+    CHECK_FALSE(fields.find("Keep-Alive"));
+    CHECK(dialect.ownAnswerFields("id", std::chrono::milliseconds(400)).find("Retry-After") == "0.400");
+    CHECK_FALSE(dialect.ownAnswerFields("id", {}).find("Retry-After"));
+}
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -26,6 +26,8 @@
 
     std::deque<kv_fault> faults; ///< Consumed one a call; `None` afterwards.
     bool down = false; ///< Every call fails as `Unavailable`.
+    int silentWatches = 0; ///< So many watches are never answered, as on a connection that fell silent.
+    bool historyLost = false; ///< Watches fail as `NotFound` until the next snapshot.
     base::duration delay { 2000 };
     std::size_t reads = 0;
     std::size_t writes = 0;
@@ -54,7 +56,12 @@
                     return base::notRun(base::error_reason::Conflict, "revision does not match");
                 if (write.lease && !m_leases.contains(write.lease))
                     return base::notRun(base::error_reason::NotFound, "lease has ended");
-                entries[write.key] = { .key = write.key, .value = write.value, .revision = ++m_revision };
+                const std::uint64_t created = found == entries.end() ? 0 : found->second.createdRevision;
+                ++m_revision;
+                entries[write.key] = { .key = write.key,
+                    .value = write.value,
+                    .revision = m_revision,
+                    .createdRevision = created == 0 ? m_revision : created };
                 if (write.lease)
                     m_leases[write.lease].keys.push_back(write.key);
                 return m_revision;
@@ -68,11 +75,32 @@
             const auto found = entries.find(key);
             if (found == entries.end() || found->second.revision != expectedRevision)
                 return base::notRun(base::error_reason::Conflict, "revision does not match");
-            entries.erase(found);
+            erase(found->first);
             return {};
         });
     }
 
+    void snapshot(std::string_view prefix, callback<platform::kv_snapshot> done) override
+    {
+        ++reads;
+        call<platform::kv_snapshot>(std::move(done),
+            [this, prefix = std::string(prefix)]() -> base::result<platform::kv_snapshot> {
+                historyLost = false;
+                platform::kv_snapshot found { .entries = {}, .revision = m_revision };
+                for (const auto& [key, entry] : entries)
+                    if (key.starts_with(prefix))
+                        found.entries.push_back(entry);
+                return found;
+            });
+    }
+
+    /// Deletes \a key as another client of the service would.
+    void erase(const std::string& key)
+    {
+        entries.erase(key);
+        m_removed[key] = ++m_revision;
+    }
+
     void range(std::string_view prefix, std::string_view after, std::size_t limit,
         callback<std::vector<platform::kv_entry>> done) override
     {
@@ -124,11 +152,21 @@
         callback<platform::kv_watch_batch> done) override
     {
         ++reads;
+        if (silentWatches > 0) {
+            --silentWatches;
+            m_scheduler.runAfter(patience + silenceMargin, [done = std::move(done)] {
+                done(base::mayHaveRun(base::error_reason::DeadlineExceeded, "no complete answer in time"));
+            });
+            return;
+        }
         m_scheduler.runAfter(delay,
             [this, prefix = std::string(prefix), afterRevision, end = m_clock.now() + patience,
                 done = std::move(done)] { pollWatch(prefix, afterRevision, end, done); });
     }
 
+    /// Time beyond its patience after which a client gives a silent watch up.
+    static constexpr base::duration silenceMargin { 400'000 };
+
 private:
     struct lease_record {
         base::duration timeToLive;
@@ -141,6 +179,8 @@
     {
         if (down)
             return done(base::notRun(base::error_reason::Unavailable, "service is down"));
+        if (historyLost)
+            return done(base::notRun(base::error_reason::NotFound, "history is gone"));
         platform::kv_watch_batch batch { .changes = {}, .revision = afterRevision };
         std::map<std::uint64_t, platform::kv_entry> ordered;
         for (const auto& [key, entry] : entries)
@@ -150,7 +190,13 @@
             batch.changes.push_back(entry);
             batch.revision = revision;
         }
-        if (!batch.changes.empty() || m_clock.now() >= end)
+        for (const auto& [key, revision] : m_removed) {
+            if (!key.starts_with(prefix) || revision <= afterRevision || entries.contains(key))
+                continue;
+            batch.removals.push_back(key);
+            batch.revision = std::max(batch.revision, revision);
+        }
+        if (!batch.changes.empty() || !batch.removals.empty() || m_clock.now() >= end)
             return done(batch);
         constexpr base::duration pollInterval { 10000 };
         m_scheduler.runAfter(pollInterval, [=, this] { pollWatch(prefix, afterRevision, end, done); });
@@ -162,7 +208,7 @@
         if (found == m_leases.end())
             return;
         for (const auto& key : found->second.keys)
-            entries.erase(key);
+            erase(key);
         m_leases.erase(found);
     }
 
@@ -200,6 +246,7 @@
     base::scheduler& m_scheduler;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastLease = 0;
+    std::map<std::string, std::uint64_t> m_removed; ///< Revision of the last deletion.
     std::map<std::uint64_t, lease_record> m_leases;
 };
 
