--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -210,7 +210,8 @@
 void caller_connection::abort()
 {
     m_handler = nullptr;
-    close();
+    if (m_state != state::Closed)
+        beginClosing();
 }
 
 void caller_connection::closeWhenIdle()
--- a/src/libs/relay/caller_connection.h
+++ b/src/libs/relay/caller_connection.h
@@ -61,7 +61,7 @@
     /// Ends an answer in chunks.
     void endAnswer();
 
-    /// Closes without completing the answer, so that the caller sees it as broken.
+    /// Closes after the bytes so far, without completing the answer, so that the caller sees it as broken.
     void abort();
 
     /// Closes as soon as no request is under way; a running one is answered with `Connection: close`.
--- a/src/libs/relay/caller_listener.cpp
+++ b/src/libs/relay/caller_listener.cpp
@@ -38,9 +38,9 @@
     if (inet_pton(AF_INET, m_address.address.c_str(), &address.sin_addr) != 1)
         return base::notRun(
             base::error_reason::InvalidRequest, fmt::format("{} is no IPv4 address", m_address.address));
-    m_listener = evconnlistener_new_bind(m_loop.handle(), accepted, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, listenBacklog, reinterpret_cast<sockaddr*>(&address),
-        sizeof(address));
+    m_listener
+        = evconnlistener_new_bind(m_loop.handle(), accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+            listenBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     if (!m_listener)
         return base::notRun(
             base::error_reason::Unavailable, fmt::format("cannot listen on {}", m_address.text()));
@@ -56,14 +56,11 @@
 {
     evutil_make_socket_nonblocking(socket);
     auto owned = std::make_unique<caller_connection>(m_loop, socket,
-        caller_connection::options { .limits = m_limits,
-            .onRequest = m_onRequest,
-            .onClosed =
-                [this](caller_connection& closed) {
-                    // The connection may still be on the stack of one of its own callbacks.
-                    m_loop.runAfter(
-                        base::duration::zero(), [this, key = &closed] { m_connections.erase(key); });
-                } });
+        caller_connection::options {
+            .limits = m_limits, .onRequest = m_onRequest, .onClosed = [this](caller_connection& closed) {
+                // The connection may still be on the stack of one of its own callbacks.
+                m_loop.runAfter(base::duration::zero(), [this, key = &closed] { m_connections.erase(key); });
+            } });
     caller_connection* connection = owned.get();
     m_connections.emplace(connection, std::move(owned));
     if (m_draining)
--- a/src/libs/relay/caller_listener.h
+++ b/src/libs/relay/caller_listener.h
@@ -31,8 +31,7 @@
     std::size_t connections() const { return m_connections.size(); }
 
 private:
-    static void accepted(
-        ::evconnlistener* listener, int socket, ::sockaddr* peer, int length, void* self);
+    static void accepted(::evconnlistener* listener, int socket, ::sockaddr* peer, int length, void* self);
     void accept(int socket);
 
     net::event_loop& m_loop;
--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -46,8 +46,7 @@
     store_record* best = nullptr;
     double bestScore = 0;
     for (auto& [address, store] : m_stores) {
-        const double score
-            = weightedScore(partId, address, static_cast<double>(store.info.capacityTokens));
+        const double score = weightedScore(partId, address, static_cast<double>(store.info.capacityTokens));
         if (!best || score > bestScore) {
             best = &store;
             bestScore = score;
@@ -121,8 +120,8 @@
         const auto saving = m_saving.find(key);
         if (saving != m_saving.end() && saving->second.at + m_options.saveTimeout > now)
             continue;
-        const auto limit = static_cast<std::int64_t>(
-            m_options.fillLimit * static_cast<double>(home->info.capacityTokens));
+        const auto limit
+            = static_cast<std::int64_t>(m_options.fillLimit * static_cast<double>(home->info.capacityTokens));
         if (home->tokens + parts[i].tokens <= limit)
             out.plan.saveTo[i] = home->info.address;
     }
--- a/src/libs/relay/context_follower.h
+++ b/src/libs/relay/context_follower.h
@@ -39,8 +39,7 @@
         base::duration pause = std::chrono::milliseconds(120);
     };
 
-    context_follower(
-        context_catalog& catalog, context_source& source, base::scheduler& timers, options opts);
+    context_follower(context_catalog& catalog, context_source& source, base::scheduler& timers, options opts);
 
     /// Follows the stores that the catalog knows by now.
     void refresh();
--- a/src/libs/relay/context_keeper.h
+++ b/src/libs/relay/context_keeper.h
@@ -10,8 +10,9 @@
 
 namespace marigold::relay {
 
-/// Frees context at the stores that no request can use any more, while this process holds the lease on orders.
-/// The stores free nothing on their own, so that context of replaced weights would leave no room for new.
+/// Frees context at the stores that no request can use any more, while this process holds the lease on
+/// orders. The stores free nothing on their own, so that context of replaced weights would leave no room for
+/// new.
 class context_keeper {
 public:
     struct options {
--- a/src/libs/relay/context_scope.cpp
+++ b/src/libs/relay/context_scope.cpp
@@ -14,8 +14,7 @@
 std::optional<context_scope> context_scope::parse(std::string_view text)
 {
     context_scope scope;
-    const auto [end, problem]
-        = std::from_chars(text.data(), text.data() + text.size(), scope.weightVersion);
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), scope.weightVersion);
     if (problem != std::errc {})
         return std::nullopt;
     text.remove_prefix(static_cast<std::size_t>(end - text.data()));
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -9,8 +9,9 @@
 inline constexpr base::event_definition requestEnded { .id = "MB-2001",
     .level = base::log_level::Info,
     .name = "relay_request_ended",
-    .meaning = "A request was answered or broke off; fields: request, route, outcome, status, verdict, target, "
-               "attempts, age_ms, first_ms, reason.",
+    .meaning
+    = "A request was answered or broke off; fields: request, route, outcome, status, verdict, target, "
+      "attempts, age_ms, first_ms, reason.",
     .action = "" };
 
 inline constexpr base::event_definition attemptFailed { .id = "MB-2002",
@@ -29,7 +30,8 @@
 inline constexpr base::event_definition stateRejected { .id = "MB-2004",
     .level = base::log_level::Warning,
     .name = "relay_state_rejected",
-    .meaning = "An entry of the platform's store cannot be used; what held before stays; fields: key, message.",
+    .meaning
+    = "An entry of the platform's store cannot be used; what held before stays; fields: key, message.",
     .action = "Ask who wrote the entry." };
 
 inline constexpr base::event_definition targetChanged { .id = "MB-2005",
@@ -71,7 +73,8 @@
 inline constexpr base::event_definition orderSent { .id = "MB-2011",
     .level = base::log_level::Info,
     .name = "relay_order_ended",
-    .meaning = "An order to load weights was answered or not; fields: target, model, version, token, outcome.",
+    .meaning
+    = "An order to load weights was answered or not; fields: target, model, version, token, outcome.",
     .action = "" };
 
 inline constexpr base::event_definition processState { .id = "MB-2012",
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -32,7 +32,8 @@
 
 std::string encode(const load_digest& digest)
 {
-    // Numbers follow each other without names, since the same datagram goes to every peer many times a second.
+    // Numbers follow each other without names, since the same datagram goes to every peer many times a
+    // second.
     json numbers = json::array();
     for (const load_digest::entry& item : digest.entries) {
         numbers.push_back(item.target);
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -4,8 +4,7 @@
 
 namespace marigold::relay {
 
-load_exchange::load_exchange(
-    target_registry& targets, base::scheduler& timers, sender send, options opts)
+load_exchange::load_exchange(target_registry& targets, base::scheduler& timers, sender send, options opts)
     : m_targets(targets)
     , m_timers(timers)
     , m_send(std::move(send))
@@ -28,17 +27,17 @@
 
 void load_exchange::tell()
 {
-    load_digest digest { .process = m_options.process,
-        .sequence = ++m_sequence,
-        .entries = m_targets.ownLoads() };
+    load_digest digest {
+        .process = m_options.process, .sequence = ++m_sequence, .entries = m_targets.ownLoads()
+    };
     if (!m_peers.empty()) {
         const std::string bytes = encode(digest);
         for (const auto& [id, address] : m_peers)
             m_send(address, bytes);
     }
     const double seconds = static_cast<double>(m_peers.size()) / m_options.maxDatagramsPerSecond;
-    const base::duration pause = std::max(
-        m_options.interval, base::duration(static_cast<std::int64_t>(seconds * 1e6)));
+    const base::duration pause
+        = std::max(m_options.interval, base::duration(static_cast<std::int64_t>(seconds * 1e6)));
     m_timers.runAfter(pause, [this] { tell(); });
 }
 
--- a/src/libs/relay/message_parser.cpp
+++ b/src/libs/relay/message_parser.cpp
@@ -21,8 +21,7 @@
 
 bool isFieldText(std::string_view value)
 {
-    return std::ranges::none_of(
-        value, [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
+    return std::ranges::none_of(value, [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
 }
 
 bool mayHaveBody(int status)
--- a/src/libs/relay/order_lease_holder.cpp
+++ b/src/libs/relay/order_lease_holder.cpp
@@ -17,8 +17,8 @@
 } // namespace
 
 order_lease_holder::order_lease_holder(platform::kv_store& store, const state_decoder& decoder,
-    base::scheduler& timers, const base::clock& time, base::random_source& random,
-    const base::event_log& log, options opts)
+    base::scheduler& timers, const base::clock& time, base::random_source& random, const base::event_log& log,
+    options opts)
     : m_store(store)
     , m_decoder(decoder)
     , m_timers(timers)
--- a/src/libs/relay/order_lease_holder.h
+++ b/src/libs/relay/order_lease_holder.h
@@ -10,8 +10,8 @@
 
 namespace marigold::relay {
 
-/// Competes for the lease on orders: one process at a time gives orders to targets, under a fencing token that
-/// grows with each holder.
+/// Competes for the lease on orders: one process at a time gives orders to targets, under a fencing token
+/// that grows with each holder.
 class order_lease_holder {
 public:
     struct options {
--- a/src/libs/relay/presence.h
+++ b/src/libs/relay/presence.h
@@ -8,8 +8,8 @@
 
 namespace marigold::relay {
 
-/// Keeps a key of this process in the platform's store for as long as it lives, so that the processes know how
-/// many share the bounds on targets.
+/// Keeps a key of this process in the platform's store for as long as it lives, so that the processes know
+/// how many share the bounds on targets.
 class presence {
 public:
     struct options {
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -40,7 +40,8 @@
         .retryBudget = m_retryBudget,
         .config = nullptr }
     , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
-    , m_presence(ports.store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
+    , m_presence(
+          ports.store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
     , m_lease(ports.store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
@@ -156,8 +157,8 @@
 
     void operator()(const weights_named& named) const
     {
-        self.m_log.write(events::versionNamed,
-            { { "model", named.model }, { "version", std::to_string(named.version) } });
+        self.m_log.write(
+            events::versionNamed, { { "model", named.model }, { "version", std::to_string(named.version) } });
         self.m_chooser.setNamedVersion(named.model, named.version);
         self.m_rollout.setNamed(named.model, named.version);
     }
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -256,8 +256,7 @@
 {
     if (!m_firstTokenSeen) {
         m_firstTokenSeen = true;
-        m_services.targets.prefillEnded(
-            *m_target, std::exchange(m_work.prefillTokens, 0),
+        m_services.targets.prefillEnded(*m_target, std::exchange(m_work.prefillTokens, 0),
             m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
         if (!m_firstByteAfter)
             m_firstByteAfter = elapsed();
@@ -321,8 +320,7 @@
     attemptEnded();
     m_verdict = base::verdict::Ran;
     if (answer == answer_state::Collecting) {
-        m_caller->answer(
-            m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
+        m_caller->answer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
     } else {
         m_caller->writePiece(m_events.takePartial());
         m_caller->endAnswer();
@@ -409,8 +407,7 @@
     m_services.log.write(events::requestEnded,
         { { "request", m_request.attemptId }, { "route", m_route ? m_route->name : std::string() },
             { "outcome", std::string(outcome) }, { "status", std::to_string(status) },
-            { "verdict", std::string(base::nameOf(m_verdict)) },
-            { "attempts", std::to_string(m_sends) },
+            { "verdict", std::string(base::nameOf(m_verdict)) }, { "attempts", std::to_string(m_sends) },
             { "age_ms", std::to_string(elapsed().count() / 1000) },
             { "first_ms",
                 m_firstByteAfter ? std::to_string(m_firstByteAfter->count() / 1000) : std::string("-") },
--- a/src/libs/relay/state_follower.cpp
+++ b/src/libs/relay/state_follower.cpp
@@ -7,8 +7,8 @@
 namespace marigold::relay {
 
 state_follower::state_follower(platform::kv_store& store, const state_decoder& decoder,
-    base::scheduler& timers, const base::clock& time, base::random_source& random,
-    const base::event_log& log, state_observer& observer, options opts)
+    base::scheduler& timers, const base::clock& time, base::random_source& random, const base::event_log& log,
+    state_observer& observer, options opts)
     : m_store(store)
     , m_decoder(decoder)
     , m_timers(timers)
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -26,8 +26,8 @@
     // Targets may have weights whose naming has not reached this process yet.
     const int newest = m_targets.newestVersion(request.service, request.model);
     const int wanted = std::max(named->second.version, newest);
-    const bool late = wanted == named->second.version
-        && m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
+    const bool late
+        = wanted == named->second.version && m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
     const double share = m_targets.shareWithVersion(request.service, request.model, wanted);
     return late || share >= m_options.newWeightsShare ? std::to_string(wanted) : std::string();
 }
@@ -36,22 +36,17 @@
 {
     const bool isPrompt = !request.model.empty();
     const std::string version = requiredVersion(request);
-    const routing::route_decision decision
-        = m_targets.router().route({ .policy = isPrompt ? routing::routing_policy::Prompt
-                                                        : routing::routing_policy::IdempotentCall,
-                                       .kind = routing::target_kind::Engine,
-                                       .model = request.service,
-                                       .version = version,
-                                       .goal = routing::serving_goal::LeastRecomputation,
-                                       .size = { .promptTokens = request.promptTokens,
-                                           .prefixTokens = request.sharedTokens },
-                                       .prefixKey = request.sharedPart.empty()
-                                           ? 0
-                                           : base::hash64(request.sharedPart) | 1,
-                                       .kept = { .tokens = request.keptTokens,
-                                           .transferTime = request.transferTime },
-                                       .tried = request.tried },
-            m_clock.now());
+    const routing::route_decision decision = m_targets.router().route(
+        { .policy = isPrompt ? routing::routing_policy::Prompt : routing::routing_policy::IdempotentCall,
+            .kind = routing::target_kind::Engine,
+            .model = request.service,
+            .version = version,
+            .goal = routing::serving_goal::LeastRecomputation,
+            .size = { .promptTokens = request.promptTokens, .prefixTokens = request.sharedTokens },
+            .prefixKey = request.sharedPart.empty() ? 0 : base::hash64(request.sharedPart) | 1,
+            .kept = { .tokens = request.keptTokens, .transferTime = request.transferTime },
+            .tried = request.tried },
+        m_clock.now());
     if (decision.empty())
         return { .outcome = placement_outcome::NoTarget };
     for (const routing::candidate& item : decision.candidates()) {
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -132,8 +132,8 @@
         if (!connection->m_skipping)
             return connection->completed();
     }
-    connection->fail(connection->m_connected ? "connection lost before the answer was complete"
-                                             : "connection refused");
+    connection->fail(
+        connection->m_connected ? "connection lost before the answer was complete" : "connection refused");
 }
 
 void target_connection::headRead(message_head&& head)
--- a/src/libs/relay/target_pool.cpp
+++ b/src/libs/relay/target_pool.cpp
@@ -18,8 +18,7 @@
     return idle < kept && (repeatable || idle < m_options.idleLimitUnrepeatable);
 }
 
-target_connection* target_pool::take(
-    const net::endpoint& to, bool repeatable, std::size_t maxConnections)
+target_connection* target_pool::take(const net::endpoint& to, bool repeatable, std::size_t maxConnections)
 {
     address_record& record = m_addresses[to.text()];
     while (!record.idle.empty()) {
--- a/src/libs/relay/target_pool.h
+++ b/src/libs/relay/target_pool.h
@@ -27,7 +27,8 @@
     target_pool(net::event_loop& loop, const base::clock& time, options opts);
 
     /// Returns a connection to \a to, a kept one if it is safe to use; \a repeatable says whether the request
-    /// may be sent once more when the connection turns out to be closed. Null when \a maxConnections are open.
+    /// may be sent once more when the connection turns out to be closed. Null when \a maxConnections are
+    /// open.
     target_connection* take(const net::endpoint& to, bool repeatable, std::size_t maxConnections);
 
     /// Closes the idle connections to \a to, for example because another target has the address now.
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -27,8 +27,8 @@
           .longestEjection = std::chrono::seconds(8),
           .probeTimeout = std::chrono::seconds(3),
           .probesToReturn = 1,
-          .changed = [this](routing::target_index target,
-                         bool ejected) { m_table.setEjected(target, ejected); } })
+          .changed
+          = [this](routing::target_index target, bool ejected) { m_table.setEjected(target, ejected); } })
     , m_router(m_table, m_random, { .samples = 3 }, &m_outliers)
 {
 }
@@ -127,8 +127,7 @@
 
 bool target_registry::mayTake(target_record& target) const
 {
-    const service_info* service
-        = m_config ? m_config->findService(target.registration.service) : nullptr;
+    const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     if (!service)
         return true;
     const base::time_point now = m_clock.now();
@@ -148,8 +147,7 @@
     report(target);
 }
 
-void target_registry::prefillEnded(
-    target_record& target, std::int64_t prefillTokens, base::duration took)
+void target_registry::prefillEnded(target_record& target, std::int64_t prefillTokens, base::duration took)
 {
     target.own.prefillTokens -= prefillTokens;
     const double seconds = std::chrono::duration<double>(took).count();
@@ -166,7 +164,8 @@
 {
     target.own -= work;
     const double seconds = std::chrono::duration<double>(took).count();
-    target.serviceSeconds += (target.serviceSeconds == 0 ? 1.0 : smoothing) * (seconds - target.serviceSeconds);
+    target.serviceSeconds
+        += (target.serviceSeconds == 0 ? 1.0 : smoothing) * (seconds - target.serviceSeconds);
     report(target);
 }
 
@@ -197,8 +196,7 @@
         target.peers -= item.load;
 }
 
-void target_registry::setPeerLoad(
-    std::string_view process, const std::vector<load_digest::entry>& loads)
+void target_registry::setPeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads)
 {
     peer_load& told = m_peerLoads[std::string(process)];
     for (const load_digest::entry& item : told.entries)
@@ -230,8 +228,7 @@
     int running = std::max(all.requests, 0);
     int slots = std::max(target.registration.slots, 1);
     // Memory binds an engine before its slots do, so both are counted in requests of the mean size.
-    const service_info* service
-        = m_config ? m_config->findService(target.registration.service) : nullptr;
+    const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     const double mean = m_meanTokens[target.registration.service];
     if (service && service->engine && service->engine->contextTokens > 0 && mean > 0) {
         running = std::max(running, static_cast<int>(static_cast<double>(all.tokens) / mean));
@@ -295,8 +292,7 @@
     return oldest;
 }
 
-double target_registry::shareWithVersion(
-    std::string_view service, std::string_view model, int version) const
+double target_registry::shareWithVersion(std::string_view service, std::string_view model, int version) const
 {
     int all = 0;
     int reached = 0;
--- a/src/libs/relay/weights_rollout.cpp
+++ b/src/libs/relay/weights_rollout.cpp
@@ -14,9 +14,8 @@
     return names[static_cast<std::size_t>(answer)];
 }
 
-weights_rollout::weights_rollout(target_registry& targets, order_lease_holder& lease,
-    target_control& control, base::scheduler& timers, const base::clock& time, const base::event_log& log,
-    options opts)
+weights_rollout::weights_rollout(target_registry& targets, order_lease_holder& lease, target_control& control,
+    base::scheduler& timers, const base::clock& time, const base::event_log& log, options opts)
     : m_targets(targets)
     , m_lease(lease)
     , m_control(control)
@@ -83,9 +82,8 @@
     for (const auto& [id, target] : m_targets.targets())
         byLoad.push_back(target);
     // A target with few requests is done soon, and the requests that it would begin go to new weights sooner.
-    std::ranges::stable_sort(byLoad, {}, [](const auto& target) {
-        return target->own.requests + target->peers.requests;
-    });
+    std::ranges::stable_sort(
+        byLoad, {}, [](const auto& target) { return target->own.requests + target->peers.requests; });
     std::map<std::string, std::size_t, std::less<>> loading;
     for (const auto& [id, item] : m_work)
         ++loading[m_targets.targets().find(id)->second->registration.service];
@@ -168,20 +166,19 @@
         .holder = m_options.process,
         .token = m_lease.token(),
         .ordersBefore = ordersBefore };
-    m_control.order(
-        target->registration, wanted, [this, target, wanted](base::result<order_answer> answer) {
-            m_log.write(events::orderSent,
-                { { "target", target->registration.id }, { "model", wanted.model },
-                    { "version", std::to_string(wanted.version) }, { "token", std::to_string(wanted.token) },
-                    { "outcome", answer ? std::string(nameOf(*answer)) : answer.error().message } });
-            const auto found = m_work.find(target->registration.id);
-            if (found != m_work.end())
-                found->second.at = phase::Loading;
-            if (answer && *answer == order_answer::StaleToken)
-                return m_lease.refused();
-            if (answer && *answer == order_answer::AlreadyHolds)
-                m_targets.versionSeen(*target, wanted.model, wanted.version);
-        });
+    m_control.order(target->registration, wanted, [this, target, wanted](base::result<order_answer> answer) {
+        m_log.write(events::orderSent,
+            { { "target", target->registration.id }, { "model", wanted.model },
+                { "version", std::to_string(wanted.version) }, { "token", std::to_string(wanted.token) },
+                { "outcome", answer ? std::string(nameOf(*answer)) : answer.error().message } });
+        const auto found = m_work.find(target->registration.id);
+        if (found != m_work.end())
+            found->second.at = phase::Loading;
+        if (answer && *answer == order_answer::StaleToken)
+            return m_lease.refused();
+        if (answer && *answer == order_answer::AlreadyHolds)
+            m_targets.versionSeen(*target, wanted.model, wanted.version);
+    });
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/weights_rollout.h
+++ b/src/libs/relay/weights_rollout.h
@@ -55,8 +55,8 @@
     void ask(const std::shared_ptr<target_record>& target, const std::string& model);
     void reported(
         const std::shared_ptr<target_record>& target, const std::string& model, const target_report& report);
-    void order(const std::shared_ptr<target_record>& target, const std::string& model,
-        std::uint64_t ordersBefore);
+    void order(
+        const std::shared_ptr<target_record>& target, const std::string& model, std::uint64_t ordersBefore);
 
     target_registry& m_targets;
     order_lease_holder& m_lease;
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -78,8 +78,8 @@
     virtual base::result<relay_request> readRequest(const message_head& head) const = 0;
 
     /// Returns the fields to forward: those of the caller that a target may see, and \a added.
-    virtual net::http_headers forwardedFields(const message_head& head, const forward_fields& added) const
-        = 0;
+    virtual net::http_headers forwardedFields(
+        const message_head& head, const forward_fields& added) const = 0;
 
     virtual target_answer readAnswer(const message_head& head) const = 0;
 
@@ -87,8 +87,8 @@
     virtual net::http_headers answerFields(const message_head& head) const = 0;
 
     /// Returns the fields of an answer of our own to the request \a attemptId.
-    virtual net::http_headers ownAnswerFields(std::string_view attemptId, base::duration retryAfter) const
-        = 0;
+    virtual net::http_headers ownAnswerFields(
+        std::string_view attemptId, base::duration retryAfter) const = 0;
 };
 
 } // namespace marigold::relay
--- a/tests/libs/relay/context_catalog_test.cpp
+++ b/tests/libs/relay/context_catalog_test.cpp
@@ -88,7 +88,9 @@
     w.catalog.take(storeAddress(0), { .epoch = 2, .next = 0 });
     CHECK_FALSE(w.catalog.plan("s", w.parts).plan.fetchFrom[1]);
     w.catalog.take(storeAddress(0),
-        { .epoch = 2, .next = 1, .events = { { .stored = true, .scope = "s", .partId = "book", .tokens = 8000 } } });
+        { .epoch = 2,
+            .next = 1,
+            .events = { { .stored = true, .scope = "s", .partId = "book", .tokens = 8000 } } });
     CHECK(w.catalog.plan("s", w.parts).plan.fetchFrom[1]);
     w.catalog.take(storeAddress(0), { .epoch = 2, .next = 9, .lost = true });
     CHECK_FALSE(w.catalog.plan("s", w.parts).plan.fetchFrom[1]); // the gap may hide that it was freed
@@ -136,7 +138,8 @@
     const auto plan = w.catalog.plan("s", w.parts);
     CHECK(plan.plan.saveTo[0]);
     CHECK_FALSE(plan.plan.saveTo[1]);
-    const auto keys = w.catalog.select(storeAddress(0), 10, [](const context_key& key) { return key.partId == "old"; });
+    const auto keys
+        = w.catalog.select(storeAddress(0), 10, [](const context_key& key) { return key.partId == "old"; });
     REQUIRE(keys.size() == 1);
     w.catalog.forget(storeAddress(0), keys);
     CHECK(w.catalog.heldTokens(storeAddress(0)) == 0);
--- a/tests/libs/relay/message_parser_test.cpp
+++ b/tests/libs/relay/message_parser_test.cpp
@@ -21,7 +21,8 @@
 };
 
 /// Parses \a bytes in pieces of \a step bytes, up to the end of one message.
-parsed parse(message_parser::kind what, std::string_view bytes, std::size_t step, std::size_t maxHeader = 4096)
+parsed parse(
+    message_parser::kind what, std::string_view bytes, std::size_t step, std::size_t maxHeader = 4096)
 {
     parsed out;
     message_parser parser(what,
@@ -102,7 +103,8 @@
         std::string body;
     };
     const std::vector<row> rows {
-        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", body_framing::Length, progress::Complete, "abc" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", body_framing::Length, progress::Complete,
+            "abc" },
         { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", body_framing::Length, progress::NeedMore, "ab" },
         { "HTTP/1.1 200 OK\r\n\r\nabc", body_framing::UntilClose, progress::Complete, "abc" },
         { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", body_framing::Chunked,
--- a/tests/libs/relay/orders_test.cpp
+++ b/tests/libs/relay/orders_test.cpp
@@ -64,8 +64,8 @@
         });
     }
 
-    void order(const target_registration& target, const weights_order& order,
-        callback<order_answer> done) override
+    void order(
+        const target_registration& target, const weights_order& order, callback<order_answer> done) override
     {
         m_timers.runAfter(delay, [this, id = target.id, order, done] {
             const order_answer answer = take(id, order);
@@ -115,8 +115,8 @@
     weights_rollout rollout;
 
     process(const std::string& name, std::uint64_t seed, platform::kv_store& store,
-        const state_decoder& decoder, base::scheduler& timers, base::clock& clock,
-        const base::event_log& log, target_control& control, base::duration settle)
+        const state_decoder& decoder, base::scheduler& timers, base::clock& clock, const base::event_log& log,
+        target_control& control, base::duration settle)
         : random(seed)
         , targets(clock, {})
         , lease(store, decoder, timers, clock, random, log, { .process = name, .settle = settle })
@@ -129,7 +129,7 @@
     base::manual_clock clock;
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
-    base::event_log log { { .output = [](std::string_view) { } } };
+    base::event_log log { { .output = [](std::string_view) {} } };
     lease_decoder decoder;
     fake_targets engines { clock, timers };
     std::vector<std::unique_ptr<process>> processes;
@@ -138,8 +138,8 @@
     world(int count, int targets, base::duration settle = {})
     {
         for (int i = 0; i < count; ++i) {
-            processes.push_back(std::make_unique<process>("p" + std::to_string(i), i + 1, store, decoder,
-                timers, clock, log, engines, settle));
+            processes.push_back(std::make_unique<process>(
+                "p" + std::to_string(i), i + 1, store, decoder, timers, clock, log, engines, settle));
             cut.push_back(false);
             for (int t = 0; t < targets; ++t)
                 processes.back()->targets.put({ .id = "t" + std::to_string(t),
@@ -160,7 +160,8 @@
             const auto entry = store.entries.find("lease");
             std::optional<order_lease> current;
             if (entry != store.entries.end())
-                current = order_lease { .holder = entry->second.value, .token = entry->second.createdRevision };
+                current
+                    = order_lease { .holder = entry->second.value, .token = entry->second.createdRevision };
             for (std::size_t i = 0; i < processes.size(); ++i)
                 if (!cut[i])
                     processes[i]->lease.seen(current);
@@ -257,7 +258,8 @@
 
 TEST_CASE("at any moment at most one process may give orders, whatever the store does")
 {
-    // Guards against a lost answer, an outage or a lapse after which two processes believe that they hold the lease.
+    // Guards against a lost answer, an outage or a lapse after which two processes believe that they hold the
+    // lease.
     CHECK(rc::check("one holder", [] {
         world w(3, 2);
         for (int i = 0; i < 30; ++i) {
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -86,8 +86,8 @@
         { "loads", [](world& w, int i) { w.targets.setLoading(w.record(i), true); } },
         { "loads by order of another process",
             [](world& w, int i) {
-                w.targets.setPeerLoad("p" + std::to_string(i),
-                    { { .target = w.record(i).hash, .load = { .loading = 1 } } });
+                w.targets.setPeerLoad(
+                    "p" + std::to_string(i), { { .target = w.record(i).hash, .load = { .loading = 1 } } });
             } },
         { "domain", [](world& w, int) { w.targets.setExcludedDomains({ "d1" }); } },
     };
--- a/tests/libs/relay/state_follower_test.cpp
+++ b/tests/libs/relay/state_follower_test.cpp
@@ -65,14 +65,14 @@
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
     base::random_source random { 1 };
-    base::event_log log { { .output = [](std::string_view) { } } };
+    base::event_log log { { .output = [](std::string_view) {} } };
     plain_decoder decoder;
     recorder seen { clock };
     state_follower follower { store, decoder, timers, clock, random, log, seen, {} };
 
     void write(const std::string& key, const std::string& value)
     {
-        store.put({ .key = key, .value = value }, [](base::result<std::uint64_t>) { });
+        store.put({ .key = key, .value = value }, [](base::result<std::uint64_t>) {});
     }
     void run(base::duration time)
     {
--- a/tests/platform/clients_test.cpp
+++ b/tests/platform/clients_test.cpp
@@ -28,13 +28,13 @@
 
     scripted_peer()
     {
-        server = std::make_unique<net::http_server>(loop, net::http_server::options {},
-            [this](const std::shared_ptr<net::http_exchange>& exchange) {
+        server = std::make_unique<net::http_server>(
+            loop, net::http_server::options {}, [this](const std::shared_ptr<net::http_exchange>& exchange) {
                 method = exchange->method();
                 path = exchange->path();
                 sentBody = exchange->body();
-                query = exchange->query("Prefix").value_or("") + "|" + exchange->query("after").value_or("") + "|"
-                    + exchange->query("Key").value_or("") + "|" + exchange->query("Since").value_or("");
+                query = exchange->query("Prefix").value_or("") + "|" + exchange->query("after").value_or("")
+                    + "|" + exchange->query("Key").value_or("") + "|" + exchange->query("Since").value_or("");
                 waited = exchange->header("Wait-Ms").value_or("");
                 std::string text = body;
                 if (!bodies.empty()) {
@@ -49,7 +49,8 @@
     net::endpoint address() const { return { .address = "127.0.0.1", .port = server->port() }; }
 
     /// Runs \a call, which gets a callback, until it was answered.
-    template <typename T> base::result<T> run(const std::function<void(std::function<void(base::result<T>)>)>& call)
+    template <typename T>
+    base::result<T> run(const std::function<void(std::function<void(base::result<T>)>)>& call)
     {
         base::result<T> outcome = base::notRun(base::error_reason::Internal, "no answer");
         call([&](base::result<T> result) {
@@ -71,7 +72,8 @@
     scripted_peer peer;
     store_client store(peer.client, { .store = peer.address() });
     peer.body = item.substr(0, item.size() - 1) + R"(,"At":530})";
-    const auto entry = peer.run<std::optional<platform::kv_entry>>([&](auto done) { store.get("a/b", done); });
+    const auto entry
+        = peer.run<std::optional<platform::kv_entry>>([&](auto done) { store.get("a/b", done); });
     REQUIRE(entry);
     REQUIRE(*entry);
     CHECK((*entry)->value == "node-1");
@@ -112,18 +114,20 @@
     REQUIRE(written);
     CHECK(*written == 413);
     CHECK(json::parse(peer.sentBody)
-        == json::parse(R"({"Expected":[{"Key":"k","Rev":0}],"Puts":[{"Key":"k","Value":"bm9kZS0x","Lease":7}],"Remove":[]})"));
+        == json::parse(
+            R"({"Expected":[{"Key":"k","Rev":0}],"Puts":[{"Key":"k","Value":"bm9kZS0x","Lease":7}],"Remove":[]})"));
     peer.body = R"({"Lease":77120,"TtlMs":3000})";
-    CHECK(*peer.run<std::uint64_t>([&](auto done) { store.grantLease(std::chrono::seconds(3), done); }) == 77120);
+    CHECK(*peer.run<std::uint64_t>([&](auto done) { store.grantLease(std::chrono::seconds(3), done); })
+        == 77120);
     CHECK(json::parse(peer.sentBody) == json::parse(R"({"TtlMs":3000})"));
 
     struct row {
         int status;
         base::error_reason reason;
     };
-    for (const row& expected : { row { 412, base::error_reason::Conflict }, row { 404, base::error_reason::NotFound },
-             row { 410, base::error_reason::NotFound }, row { 429, base::error_reason::Overloaded },
-             row { 503, base::error_reason::Unavailable } }) {
+    for (const row& expected : { row { 412, base::error_reason::Conflict },
+             row { 404, base::error_reason::NotFound }, row { 410, base::error_reason::NotFound },
+             row { 429, base::error_reason::Overloaded }, row { 503, base::error_reason::Unavailable } }) {
         peer.status = expected.status;
         const auto refused = peer.run<std::uint64_t>([&](auto done) { store.put({ .key = "k" }, done); });
         REQUIRE_FALSE(refused);
@@ -143,22 +147,25 @@
     scripted_peer peer;
     target_client client(peer.client, {});
     const relay::target_registration target { .id = "i-1", .address = peer.address() };
-    peer.body = R"({"Stage":"colocated","Models":[{"Name":"m","Version":3,"Adapters":[]}],"Busy":true,"Seq":2})";
+    peer.body
+        = R"({"Stage":"colocated","Models":[{"Name":"m","Version":3,"Adapters":[]}],"Busy":true,"Seq":2})";
     const auto report = peer.run<relay::target_report>([&](auto done) { client.report(target, done); });
     REQUIRE(report);
     CHECK(report->weightVersions.at("m") == 3);
     CHECK(report->busy);
     CHECK(report->ordersAccepted == 2);
 
-    const relay::weights_order order { .model = "m", .version = 4, .holder = "p", .token = 41, .ordersBefore = 2 };
+    const relay::weights_order order {
+        .model = "m", .version = 4, .holder = "p", .token = 41, .ordersBefore = 2
+    };
     struct row {
         int status;
         relay::order_answer answer;
     };
-    for (const row& expected : { row { 202, relay::order_answer::Accepted },
-             row { 200, relay::order_answer::AlreadyHolds }, row { 409, relay::order_answer::Conflict },
-             row { 412, relay::order_answer::StaleToken }, row { 421, relay::order_answer::OtherTarget },
-             row { 400, relay::order_answer::Invalid } }) {
+    for (const row& expected :
+        { row { 202, relay::order_answer::Accepted }, row { 200, relay::order_answer::AlreadyHolds },
+            row { 409, relay::order_answer::Conflict }, row { 412, relay::order_answer::StaleToken },
+            row { 421, relay::order_answer::OtherTarget }, row { 400, relay::order_answer::Invalid } }) {
         peer.status = expected.status;
         const auto answer
             = peer.run<relay::order_answer>([&](auto done) { client.order(target, order, done); });
@@ -166,13 +173,15 @@
         CHECK(*answer == expected.answer);
     }
     CHECK(json::parse(peer.sentBody)
-        == json::parse(R"({"Op":"Version","Model":"m","Version":4,"SwitchMode":"queue","Holder":"p","Fence":41,"Expected":2})"));
+        == json::parse(
+            R"({"Op":"Version","Model":"m","Version":4,"SwitchMode":"queue","Holder":"p","Fence":41,"Expected":2})"));
     peer.status = 500;
     CHECK(peer.run<relay::order_answer>([&](auto done) { client.order(target, order, done); }).error().verdict
         == base::verdict::MayHaveRun);
 
     peer.status = 200;
-    peer.body = R"({"Epoch":77120,"Next":120,"Lost":false,"Events":[[119,"+","s1","5c",800,"m"],[120,"-","s1","91",128,"m"]]})";
+    peer.body
+        = R"({"Epoch":77120,"Next":120,"Lost":false,"Events":[[119,"+","s1","5c",800,"m"],[120,"-","s1","91",128,"m"]]})";
     const auto events = peer.run<relay::context_event_batch>(
         [&](auto done) { client.events(peer.address(), 118, std::chrono::milliseconds(800), done); });
     REQUIRE(events);
--- a/tests/platform/entry_decoder_test.cpp
+++ b/tests/platform/entry_decoder_test.cpp
@@ -80,7 +80,8 @@
         return text;
     };
     const std::vector<std::string> bad { "", "{}", "[]", "null", "\xff\xfe", goodTarget.substr(0, 40),
-        without(goodTarget, "\"ready\"", "\"asleep\""), without(goodTarget, "\"Slots\":64", "\"Slots\":\"x\""),
+        without(goodTarget, "\"ready\"", "\"asleep\""),
+        without(goodTarget, "\"Slots\":64", "\"Slots\":\"x\""),
         without(goodTarget, "10.128.0.9:8080", "nowhere"), without(goodTarget, "\"Zone\":\"z\",", ""),
         without(goodTarget, "\"Version\":2", "\"Version\":\"two\"") };
     for (const std::string& text : bad) {
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -72,7 +72,8 @@
         { "X-Kv-Fetch-From", "1" }, { "X-Request-Priority", "0" }, { "X-Deadline-Ms", "9999" },
         { "Connection", "x-hop, x-model" }, { "X-Hop", "1" }, { "Content-Length", "4" },
         { "Transfer-Encoding", "chunked" }, { "X-Other", "kept" }, { "X-Length-Hint", "3" } });
-    relay::context_plan plan { .fetchFrom = { std::nullopt, net::endpoint { .address = "1.2.3.4", .port = 5 } },
+    relay::context_plan plan { .fetchFrom
+        = { std::nullopt, net::endpoint { .address = "1.2.3.4", .port = 5 } },
         .saveTo = { std::nullopt, std::nullopt } };
     const auto fields = dialect.forwardedFields(head,
         { .attemptId = "id",
--- /dev/null
+++ b/tests/platform/scripted_target.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <net/event_loop.h>
+#include <net/http_types.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+namespace marigold::testing {
+
+/// A target whose answers are given byte by byte, so that it can break the protocol.
+class scripted_target {
+public:
+    enum class ending {
+        KeepOpen,
+        Close,
+        Reset,
+    };
+    /// What to do with one request.
+    struct reply {
+        std::string bytes; ///< "{id}" stands for the id of the request.
+        ending then = ending::KeepOpen;
+    };
+    struct arrival {
+        std::string head;
+        std::string body;
+
+        std::string field(const std::string& name) const
+        {
+            const std::string start = "\r\n" + name + ": ";
+            const auto at = head.find(start);
+            if (at == std::string::npos)
+                return {};
+            const auto from = at + start.size();
+            return head.substr(from, head.find("\r\n", from) - from);
+        }
+    };
+
+    explicit scripted_target(net::event_loop& loop)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        m_listener = evconnlistener_new_bind(loop.handle(), accepted, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&address),
+            sizeof(address));
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &length);
+        m_port = ntohs(address.sin_port);
+        m_base = loop.handle();
+    }
+    ~scripted_target()
+    {
+        for (bufferevent* connection : m_connections)
+            bufferevent_free(connection);
+        evconnlistener_free(m_listener);
+    }
+    scripted_target(const scripted_target&) = delete;
+    scripted_target& operator=(const scripted_target&) = delete;
+
+    net::endpoint address() const { return { .address = "127.0.0.1", .port = m_port }; }
+
+    std::vector<reply> replies; ///< One for each request; the last one is used again.
+    std::vector<arrival> arrivals;
+    int connections = 0;
+    int closedByCaller = 0;
+
+private:
+    static void accepted(evconnlistener*, int socket, sockaddr*, int, void* self)
+    {
+        auto* target = static_cast<scripted_target*>(self);
+        bufferevent* events = bufferevent_socket_new(target->m_base, socket, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(events, readable, nullptr, ended, self);
+        bufferevent_enable(events, EV_READ | EV_WRITE);
+        target->m_connections.push_back(events);
+        ++target->connections;
+    }
+    static void ended(bufferevent* events, short, void* self)
+    {
+        auto* target = static_cast<scripted_target*>(self);
+        ++target->closedByCaller;
+        target->drop(events);
+    }
+    static void readable(bufferevent* events, void* self)
+    {
+        static_cast<scripted_target*>(self)->read(events);
+    }
+
+    void drop(bufferevent* events)
+    {
+        std::erase(m_connections, events);
+        bufferevent_free(events);
+    }
+
+    void read(bufferevent* events)
+    {
+        evbuffer* input = bufferevent_get_input(events);
+        std::string text(evbuffer_get_length(input), '\0');
+        evbuffer_copyout(input, text.data(), text.size());
+        const auto end = text.find("\r\n\r\n");
+        if (end == std::string::npos)
+            return;
+        arrival item { .head = text.substr(0, end + 2), .body = {} };
+        const std::string length = item.field("Content-Length");
+        const std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
+        if (text.size() < end + 4 + bodySize)
+            return;
+        item.body = text.substr(end + 4, bodySize);
+        evbuffer_drain(input, end + 4 + bodySize);
+        arrivals.push_back(item);
+        const reply next = replies.at(std::min(arrivals.size(), replies.size()) - 1);
+        std::string bytes = next.bytes;
+        const std::string mark = "{id}";
+        for (auto at = bytes.find(mark); at != std::string::npos; at = bytes.find(mark))
+            bytes.replace(at, mark.size(), item.field("X-Attempt-Id"));
+        const int socket = bufferevent_getfd(events);
+        if (next.then == ending::KeepOpen) {
+            bufferevent_write(events, bytes.data(), bytes.size());
+            return;
+        }
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (next.then == ending::Reset) {
+            const linger none { .l_onoff = 1, .l_linger = 0 };
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        }
+        drop(events);
+    }
+
+    event_base* m_base;
+    evconnlistener* m_listener;
+    std::uint16_t m_port = 0;
+    std::vector<bufferevent*> m_connections;
+};
+
+} // namespace marigold::testing
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -83,8 +83,8 @@
     void snapshot(std::string_view prefix, callback<platform::kv_snapshot> done) override
     {
         ++reads;
-        call<platform::kv_snapshot>(std::move(done),
-            [this, prefix = std::string(prefix)]() -> base::result<platform::kv_snapshot> {
+        call<platform::kv_snapshot>(
+            std::move(done), [this, prefix = std::string(prefix)]() -> base::result<platform::kv_snapshot> {
                 historyLost = false;
                 platform::kv_snapshot found { .entries = {}, .revision = m_revision };
                 for (const auto& [key, entry] : entries)
