Keep the entry's four candidates apart from the capacity of a decision

Cause: raising route_decision::capacity to 32 silently raised the number of targets at which the entry tries a refused request (completion_session). Change: usualCandidates (4) names what the entry meant.

--- a/src/libs/entry/completion_session.cpp
+++ b/src/libs/entry/completion_session.cpp
@@ -294,7 +294,7 @@
             || problem.reason == base::error_reason::Unavailable);
     if (isCheap && !m_merger->hasDelivered() && m_attempt) {
         --m_attemptsMade;
-        if (m_tried.size() < routing::route_decision::capacity)
+        if (m_tried.size() < routing::route_decision::usualCandidates)
             return routeNext();
         return waitForTarget(problem);
     }
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -83,6 +83,9 @@
 public:
     static constexpr std::size_t capacity = 32;
 
+    /// Candidates unless the router's options say otherwise; a request is not tried at more.
+    static constexpr std::size_t usualCandidates = 4;
+
     std::span<const candidate> candidates() const { return { m_items.data(), m_count }; }
     bool empty() const { return m_count == 0; }
 
@@ -101,7 +104,7 @@
 public:
     struct options {
         /// Candidates of a decision, at most `route_decision::capacity`.
-        std::size_t candidates = 4;
+        std::size_t candidates = route_decision::usualCandidates;
         /// Sampled targets that contest the first place, in this domain and in the rest of the region each.
         std::size_t samples = 2;
         /// A target in another failure domain is preferred only if it saves more than this.
--- a/tests/libs/routing/router_test.cpp
+++ b/tests/libs/routing/router_test.cpp
@@ -118,7 +118,7 @@
             RC_ASSERT(std::chrono::duration<double>(item.waitLimit).count() >= item.cost.beginSeconds);
         }
         if (request.policy != routing_policy::HomeCall)
-            RC_ASSERT(decision.candidates().size() >= std::min(usable, router::options {}.candidates));
+            RC_ASSERT(decision.candidates().size() >= std::min(usable, route_decision::usualCandidates));
     }));
 }
 
