Keep short queues at stores of context and away from silent targets

Change: a window on the transfers from each store (additive increase, multiplicative decrease on delay beyond prefill and link); a request waits 35 % of its latency goal for the window, then reads; a target that owes answers and is silent for 0.7 s beside twice its prefill gets no requests, and those that may be repeated go on elsewhere.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -90,6 +90,13 @@
         hold(store, event);
 }
 
+base::duration context_catalog::transferTime(const store_record& store, int tokens) const
+{
+    constexpr double bitsPerByte = 8;
+    const double microseconds = tokens * m_tokenBytes * bitsPerByte / std::max(store.info.linkMbps, 1.0);
+    return store.info.firstByte + base::duration(static_cast<std::int64_t>(microseconds));
+}
+
 context_catalog::planned context_catalog::plan(std::string_view scope, std::span<const prompt_part> parts)
 {
     planned out;
@@ -99,20 +106,26 @@
         return out;
     const base::time_point now = m_clock.now();
     bool leading = true;
+    base::duration longest { 0 };
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         store_record* home = homeOf(parts[i].id);
         const context_key key { .scope = std::string(scope), .partId = parts[i].id };
         const auto held = home->parts.find(key);
         if (held != home->parts.end() && held->second.tokens >= parts[i].tokens) {
+            if (!home->window.hasRoom()) {
+                out.mustWait = true;
+                leading = false;
+                continue;
+            }
             held->second.lastUse = now;
             out.plan.fetchFrom[i] = home->info.address;
-            if (leading) {
+            if (leading)
                 out.keptTokens += parts[i].tokens;
-                constexpr double bitsPerByte = 8;
-                const double microseconds
-                    = parts[i].tokens * m_tokenBytes * bitsPerByte / std::max(home->info.linkMbps, 1.0);
-                out.transferTime
-                    += home->info.firstByte + base::duration(static_cast<std::int64_t>(microseconds));
+            const base::duration transfer = transferTime(*home, parts[i].tokens);
+            out.transferTime += transfer;
+            if (transfer >= longest) {
+                longest = transfer;
+                out.mainSource = home->info.address.text();
             }
             continue;
         }
@@ -128,13 +141,26 @@
     return out;
 }
 
-void context_catalog::saving(
-    std::string_view scope, std::span<const prompt_part> parts, const context_plan& plan)
+void context_catalog::began(std::string_view scope, std::span<const prompt_part> parts, const planned& plan)
 {
-    for (std::size_t i = 0; i < plan.saveTo.size(); ++i)
-        if (plan.saveTo[i])
+    const auto& saveTo = plan.plan.saveTo;
+    for (std::size_t i = 0; i < saveTo.size(); ++i)
+        if (saveTo[i])
             m_saving[{ .scope = std::string(scope), .partId = parts[i].id }]
-                = { .at = m_clock.now(), .store = plan.saveTo[i]->text(), .tokens = parts[i].tokens };
+                = { .at = m_clock.now(), .store = saveTo[i]->text(), .tokens = parts[i].tokens };
+    if (const auto source = m_stores.find(plan.mainSource); source != m_stores.end())
+        source->second.window.began();
+}
+
+void context_catalog::ended(const planned& plan, std::optional<base::duration> excess)
+{
+    const auto source = m_stores.find(plan.mainSource);
+    if (source == m_stores.end())
+        return;
+    if (excess)
+        source->second.window.ended(*excess, m_clock.now());
+    else
+        source->second.window.dropped();
 }
 
 std::vector<context_key> context_catalog::select(const net::endpoint& address, std::size_t limit,
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "relay_config.h"
+#include "transfer_window.h"
 #include "wire_dialect.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -63,11 +65,19 @@
         context_plan plan;
         int keptTokens = 0; ///< Of the leading parts that can be fetched.
         base::duration transferTime { 0 };
+        /// Store that most of the context comes from; empty if nothing is fetched.
+        std::string mainSource = {};
+        /// A store holds a part but has enough transfers under way; it may be free soon.
+        bool mustWait = false;
     };
     planned plan(std::string_view scope, std::span<const prompt_part> parts);
 
-    /// Records that the saves of \a plan were sent with a request.
-    void saving(std::string_view scope, std::span<const prompt_part> parts, const context_plan& plan);
+    /// Records that \a plan was sent with a request.
+    void began(std::string_view scope, std::span<const prompt_part> parts, const planned& plan);
+
+    /// Ends the transfers of a request that began with \a plan; \a excess is its delay beyond what prefill
+    /// and links explain, empty if its first token never came.
+    void ended(const planned& plan, std::optional<base::duration> excess);
 
     /// Returns up to \a limit parts at \a address that \a wanted accepts.
     std::vector<context_key> select(const net::endpoint& address, std::size_t limit,
@@ -90,6 +100,7 @@
         context_store_info info;
         std::uint64_t epoch = 0;
         std::int64_t tokens = 0;
+        transfer_window window;
         std::map<context_key, held_part> parts;
     };
     struct save_record {
@@ -98,6 +109,7 @@
         int tokens = 0;
     };
 
+    base::duration transferTime(const store_record& store, int tokens) const;
     store_record* homeOf(std::string_view partId);
     void hold(store_record& store, const context_event& event);
 
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -11,6 +11,9 @@
 
 constexpr base::duration houseKeepingInterval = std::chrono::milliseconds(500);
 
+/// Requests at a silent target are found this soon.
+constexpr base::duration silenceInterval = std::chrono::milliseconds(100);
+
 } // namespace
 
 relay_server::relay_server(net::event_loop& loop, const base::clock& time, const base::event_log& log,
@@ -74,6 +77,7 @@
         return bound;
     m_loads.start();
     m_loop.runEvery(houseKeepingInterval, [this] { houseKeeping(); });
+    m_loop.runEvery(silenceInterval, [this] { checkSilence(); });
     m_follower.start();
     m_presence.start();
     m_log.write(events::processState, { { "state", "started" } });
@@ -109,6 +113,15 @@
     m_contextKeeper.sweep();
 }
 
+void relay_server::checkSilence()
+{
+    std::vector<relay_session*> sessions;
+    for (const auto& [key, session] : m_sessions)
+        sessions.push_back(key);
+    for (relay_session* session : sessions)
+        session->checkSilence();
+}
+
 void relay_server::setConfig(std::shared_ptr<const relay_config> config)
 {
     if (m_services.config && config->version() <= m_services.config->version())
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -71,6 +71,7 @@
     void applyExcluded();
     void applyProcesses();
     void houseKeeping();
+    void checkSilence();
     void finishDrainIfIdle();
 
     net::event_loop& m_loop;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -15,6 +15,10 @@
 /// Answers up to this size are read whole before the caller gets them.
 constexpr std::size_t collectLimit = 64 << 10;
 
+/// Share of the route's latency goal for which a request waits for a busy store; reading the context again
+/// then costs the engines more than the wait costs the caller.
+constexpr double fetchPatience = 0.35;
+
 /// Multiple of the route's latency goal for which a request waits for a place; later it would hardly be
 /// served before its caller gives up.
 constexpr double placePatience = 1.5;
@@ -126,6 +130,9 @@
 {
     setScope(m_services.targets.newestVersion(m_service->name, m_request.model));
     m_context = m_services.context.plan(m_scope, m_request.parts);
+    const auto patience = fetchPatience * static_cast<double>(m_route->latencyGoal.count());
+    if (m_context.mustWait && elapsed() < base::duration(static_cast<std::int64_t>(patience)))
+        return { .outcome = placement_outcome::Busy };
     const std::size_t shared = m_request.parts.empty() ? 0 : m_request.parts.size() - 1;
     return m_services.chooser.choose({ .service = m_service->name,
         .model = m_service->engine ? std::string_view(m_request.model) : std::string_view(),
@@ -213,12 +220,14 @@
     if (version != versions.end()) {
         setScope(version->second);
         m_context = m_services.context.plan(m_scope, m_request.parts);
-        m_services.context.saving(m_scope, m_request.parts, m_context.plan);
+        m_services.context.began(m_scope, m_request.parts, m_context);
+        m_transfersOpen = true;
     }
     m_target = m_services.targets.targets().at(target.registration.id);
     m_tried.push_back(target.index);
     m_work = work();
     m_firstTokenSeen = false;
+    m_expectedFirst = m_services.targets.expectedPrefill(target, m_work) + m_context.transferTime;
     m_hadPrefillAhead = target.own.prefillTokens + target.peers.prefillTokens > 0;
     m_services.targets.began(target, m_work);
     m_sentAt = now();
@@ -234,6 +243,7 @@
     const target_answer answer = m_services.dialect.readAnswer(head);
     if (answer.attemptId != m_request.attemptId)
         return false;
+    m_services.targets.heard(*m_target);
     m_answerHead = head;
     if (answer.weightVersion)
         m_services.targets.versionSeen(*m_target, m_request.model, *answer.weightVersion);
@@ -277,8 +287,11 @@
 
 void relay_session::answerPiece(std::string_view piece)
 {
+    m_services.targets.heard(*m_target);
     if (!m_firstTokenSeen) {
         m_firstTokenSeen = true;
+        if (std::exchange(m_transfersOpen, false))
+            m_services.context.ended(m_context, now() - m_sentAt - m_expectedFirst);
         m_services.targets.prefillEnded(*m_target, std::exchange(m_work.prefillTokens, 0),
             m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
         m_services.waiting.pumpSoon();
@@ -318,12 +331,26 @@
 {
     if (!m_target)
         return;
+    if (std::exchange(m_transfersOpen, false))
+        m_services.context.ended(m_context, std::nullopt);
     m_services.targets.ended(*m_target, m_work, now() - m_sentAt);
     m_services.waiting.pumpSoon();
     m_target = nullptr;
     m_connection = nullptr;
 }
 
+void relay_session::checkSilence()
+{
+    if (!m_connection || m_callerHasHead || !m_services.targets.isSilent(*m_target)
+        || !mayTryAgain(base::verdict::MayHaveRun))
+        return;
+    m_connection->cancel();
+    m_services.targets.observe(*m_target, true);
+    attemptFailed({ .verdict = base::verdict::MayHaveRun,
+        .reason = base::error_reason::Unavailable,
+        .message = "target is silent" });
+}
+
 void relay_session::answerEnds()
 {
     const std::shared_ptr<target_record> target = m_target;
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -28,6 +28,10 @@
 
     void start();
 
+    /// Sends the request to another target if its present one has fallen silent and the request may be
+    /// repeated; to be called now and then.
+    void checkSilence();
+
     void callerGone() override;
     void callerDrained() override;
     bool answerBegins(const message_head& head) override;
@@ -95,6 +99,8 @@
     target_load m_work; ///< What is left of this request at its target.
     base::time_point m_sentAt {};
     bool m_firstTokenSeen = false;
+    bool m_transfersOpen = false; ///< Transfers of the context plan count as under way.
+    base::duration m_expectedFirst { 0 }; ///< From the send to the first token.
     bool m_hadPrefillAhead = false; ///< The target had other prompts to prefill when this one was sent.
     int m_sends = 0;
     int m_possibleRuns = 0; ///< Sends that the target did not prove to be without effect.
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -132,6 +132,8 @@
     all += target.peers;
     if (all.requests <= 0)
         return true;
+    if (isSilent(target))
+        return false;
     const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     if (!service || !service->engine)
         return all.requests < std::max(target.registration.slots, 1) * m_options.plainOverbooking;
@@ -143,6 +145,17 @@
     return speed <= 0 || static_cast<double>(all.prefillTokens) / speed <= limit;
 }
 
+bool target_registry::isSilent(const target_record& target) const
+{
+    if (target.own.requests <= 0)
+        return false;
+    const double speed = usualSpeed(target);
+    const double ahead = static_cast<double>(target.own.prefillTokens + target.peers.prefillTokens);
+    const double working = speed > 0 ? 2 * ahead / speed : 0;
+    return m_clock.now() - target.heardAt
+        > m_options.silenceLimit + base::duration(static_cast<std::int64_t>(working * 1e6));
+}
+
 double target_registry::usualSpeed(const target_record& target) const
 {
     if (target.prefillSpeed > 0)
@@ -165,9 +178,20 @@
     return target.intake.allows(share.perSecond(), now);
 }
 
+base::duration target_registry::expectedPrefill(const target_record& target, const target_load& work) const
+{
+    const double speed = usualSpeed(target);
+    const auto tokens
+        = static_cast<double>(target.own.prefillTokens + target.peers.prefillTokens + work.prefillTokens);
+    return speed > 0 ? base::duration(static_cast<std::int64_t>(tokens / speed * 1e6))
+                     : base::duration::zero();
+}
+
 void target_registry::began(target_record& target, const target_load& work)
 {
     target.intake.sent(m_clock.now());
+    if (target.own.requests == 0)
+        heard(target);
     target.own += work;
     double& mean = m_meanTokens[target.registration.service];
     const auto tokens = static_cast<double>(work.tokens);
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -27,6 +27,7 @@
     target_load peers; ///< Of the other processes, as far as told.
     double prefillSpeed = 0; ///< Tokens a second, of prompts that had nothing before them; 0 if unknown.
     double serviceSeconds = 0; ///< Smoothed duration of a run.
+    base::time_point heardAt {}; ///< Last byte of any answer, or the send that ended a time without requests.
     bool gone = false;
 };
 
@@ -44,6 +45,8 @@
         /// Prefill work at an engine above which it gets no more; further requests wait here, where they can
         /// still go to another engine.
         base::duration prefillBacklog = std::chrono::milliseconds(150);
+        /// A target that owes answers may be silent for this long, beside twice the prefill that is ahead.
+        base::duration silenceLimit = std::chrono::milliseconds(700);
         /// Requests of a plain service for each slot; more than one hides the way to and fro.
         double plainOverbooking = 1.5;
         /// The work of a peer that has told nothing for this long is over or told elsewhere.
@@ -79,6 +82,9 @@
     /// Returns true if \a target can begin \a work soon and the bound on its intake allows one more request.
     bool mayTake(target_record& target, const target_load& work) const;
 
+    /// Returns how long the prefill of \a work is expected to take at \a target, behind what is there.
+    base::duration expectedPrefill(const target_record& target, const target_load& work) const;
+
     /// Records a request that is sent to \a target, with its \a work.
     void began(target_record& target, const target_load& work);
 
@@ -109,6 +115,13 @@
             setPeerLoad(process, {});
     }
 
+    /// Records that bytes of an answer came from \a target.
+    void heard(target_record& target) { target.heardAt = m_clock.now(); }
+
+    /// Returns true if \a target has unfinished requests of this process and has said nothing on any of its
+    /// connections for longer than its work explains. It gets no requests until it is heard again.
+    bool isSilent(const target_record& target) const;
+
     /// Records whether a request failed by a fault of \a target.
     void observe(target_record& target, bool failed);
 
--- a/tests/libs/relay/context_catalog_test.cpp
+++ b/tests/libs/relay/context_catalog_test.cpp
@@ -58,7 +58,7 @@
     CHECK(plan.plan.saveTo[0] == storeAddress(0));
     CHECK(plan.plan.saveTo[1] == storeAddress(0));
     CHECK_FALSE(plan.plan.saveTo[2]); // the last part belongs to this request alone
-    w.catalog.saving("s", w.parts, plan.plan);
+    w.catalog.began("s", w.parts, plan);
 
     plan = w.catalog.plan("s", w.parts);
     CHECK_FALSE(plan.plan.fetchFrom[1]);
@@ -101,7 +101,7 @@
     // Guards against a part that is read again for ever, since its save broke off with its target.
     world w({ 100'000 });
     const auto plan = w.catalog.plan("s", w.parts);
-    w.catalog.saving("s", w.parts, plan.plan);
+    w.catalog.began("s", w.parts, plan);
     w.clock.advance(std::chrono::seconds(1));
     CHECK_FALSE(w.catalog.plan("s", w.parts).plan.saveTo[1]);
     w.clock.advance(std::chrono::seconds(10));
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -225,9 +225,28 @@
     CHECK(sent * 3 <= bound);
     CHECK(w.choose().outcome == placement_outcome::Busy);
     w.clock.advance(std::chrono::milliseconds(1200));
+    w.targets.heard(w.record(0));
     CHECK(w.choose().outcome == placement_outcome::Chosen);
 }
 
+TEST_CASE("a target that owes answers and says nothing gets no more requests until it is heard")
+{
+    // Guards against requests that are held at a machine without power until their callers give up.
+    world w(2);
+    w.targets.began(w.record(0), { .requests = 1, .prefillTokens = 10'000, .tokens = 12'000 });
+    w.targets.prefillEnded(w.record(0), 10'000, std::chrono::milliseconds(200)); // 50,000 tokens/s
+    w.targets.began(w.record(0), { .requests = 1, .prefillTokens = 5'000, .tokens = 6'000 });
+    w.clock.advance(std::chrono::milliseconds(800));
+    CHECK_FALSE(w.targets.isSilent(w.record(0))); // 100 ms of prefill explain as much again
+    w.clock.advance(std::chrono::milliseconds(200));
+    CHECK(w.targets.isSilent(w.record(0)));
+    CHECK(w.chosen(50) == std::set<std::string> { "t1" });
+    CHECK_FALSE(w.targets.isSilent(w.record(1))); // owes nothing
+    w.targets.heard(w.record(0));
+    CHECK_FALSE(w.targets.isSilent(w.record(0)));
+    CHECK(w.chosen(100).size() == 2);
+}
+
 TEST_CASE("targets that are missing after an outage are kept for a short time")
 {
     // Guards against refusals while targets register anew, and against work for a target that is gone.
