--- a/src/libs/relay/transfer_window.cpp
+++ b/src/libs/relay/transfer_window.cpp
@@ -13,11 +13,12 @@
 void transfer_window::ended(base::duration excess, base::time_point now)
 {
     --m_underWay;
-    if (excess <= m_options.tolerated) {
+    const bool delayed = excess > m_options.tolerated;
+    m_delayed[m_next++ % latest] = delayed;
+    if (!delayed)
         m_size = std::min(m_options.most, m_size + 1 / m_size);
-        return;
-    }
-    if (now - m_shrunkAt < m_options.settle)
+    const auto count = static_cast<std::size_t>(std::ranges::count(m_delayed, true));
+    if (count < m_options.delayedOfLatest || now - m_shrunkAt < m_options.settle)
         return;
     m_shrunkAt = now;
     m_size = std::max(m_options.least, m_size / 2);
--- a/src/libs/relay/transfer_window.h
+++ b/src/libs/relay/transfer_window.h
@@ -2,6 +2,9 @@
 
 #include <base/clock.h>
 
+#include <array>
+#include <cstddef>
+
 namespace marigold::relay {
 
 /// Bounds the transfers that this process has under way from one store, by additive increase and
@@ -17,6 +20,9 @@
         base::duration tolerated = std::chrono::milliseconds(120);
         /// Transfers of one queue end together and must not shrink the window more than once.
         base::duration settle = std::chrono::milliseconds(250);
+        /// Of the latest delays, this many must be above the tolerated one: single ones are the fault of the
+        /// target that fetches.
+        std::size_t delayedOfLatest = 4;
     };
 
     explicit transfer_window(options opts);
@@ -41,6 +47,9 @@
     double m_size;
     int m_underWay = 0;
     base::time_point m_shrunkAt {};
+    static constexpr std::size_t latest = 5;
+    std::array<bool, latest> m_delayed {}; ///< Of the latest transfers, in a ring.
+    std::size_t m_next = 0;
 };
 
 } // namespace marigold::relay
