--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -158,8 +158,9 @@
         const placement found = choose();
         if (found.outcome == placement_outcome::Chosen && send(*found.target))
             return;
+        m_lastChoice = found.outcome;
         if (found.outcome == placement_outcome::NoTarget && !m_tried.empty())
-            return noPlace(found.outcome);
+            return noPlace();
     }
     m_waits = true;
     m_services.waiting.add(*this);
@@ -168,22 +169,24 @@
 bool relay_session::tryPlace()
 {
     const placement found = choose();
-    if (found.outcome == placement_outcome::Chosen && send(*found.target)) {
-        m_waits = false;
-        return true;
-    }
-    if (now() < m_placeBy)
+    m_lastChoice = found.outcome;
+    if (found.outcome != placement_outcome::Chosen || !send(*found.target))
         return false;
     m_waits = false;
-    noPlace(found.outcome);
     return true;
 }
 
-void relay_session::noPlace(placement_outcome why)
+void relay_session::giveUp()
+{
+    m_waits = false;
+    noPlace();
+}
+
+void relay_session::noPlace()
 {
     if (m_verdict != base::verdict::NotRun)
         return answerOwn(502, {}, "no_further_target");
-    const bool busy = why != placement_outcome::NoTarget;
+    const bool busy = m_lastChoice != placement_outcome::NoTarget;
     answerOwn(503, busy ? busyRetryAfter : unavailableRetryAfter, busy ? "targets_busy" : "no_target");
 }
 
@@ -435,6 +438,7 @@
     m_caller = nullptr;
     if (m_connection) {
         m_connection->cancel();
+        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
         attemptEnded();
     }
     finish("caller_gone", 0, "");
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -39,6 +39,8 @@
     void answerEnds() override;
     void answerFails(const base::error& failure) override;
     bool tryPlace() override;
+    void giveUp() override;
+    base::time_point waitsUntil() const override { return m_placeBy; }
     std::string_view service() const override { return m_service->name; }
     int urgency() const override;
     int size() const override { return m_request.promptTokens; }
@@ -58,7 +60,7 @@
     void setScope(int weightVersion);
     void dispatch();
     placement choose();
-    void noPlace(placement_outcome why);
+    void noPlace();
     bool send(target_record& target);
     target_load work() const;
     std::string requestText(const target_record& target) const;
@@ -89,6 +91,7 @@
     base::time_point m_answerBy {};
     base::time_point m_placeBy {}; ///< Until when the request waits for a place at a target.
     bool m_waits = false; ///< Is in the waiting room.
+    placement_outcome m_lastChoice = placement_outcome::NoTarget;
     base::timer_id m_limitTimer = 0;
     std::string m_scope;
     context_catalog::planned m_context;
--- a/src/libs/relay/waiting_room.cpp
+++ b/src/libs/relay/waiting_room.cpp
@@ -65,16 +65,17 @@
     std::vector<waiting_request*> left;
     for (waiting_request* request : order) {
         const auto refused = smallestRefused.find(request->service());
-        if (refused != smallestRefused.end() && request->size() >= refused->second) {
-            left.push_back(request);
-            continue;
+        if (refused == smallestRefused.end() || request->size() < refused->second) {
+            const std::string service(request->service());
+            const int size = request->size();
+            if (request->tryPlace())
+                continue;
+            smallestRefused.emplace(service, size).first->second = size;
         }
-        const std::string service(request->service());
-        const int size = request->size();
-        if (request->tryPlace())
-            continue;
-        left.push_back(request);
-        smallestRefused.emplace(service, size).first->second = size;
+        if (request->waitsUntil() <= m_clock.now())
+            request->giveUp();
+        else
+            left.push_back(request);
     }
     // Placing a request may have ended others, but not those that wait here: they end by their own timers.
     left.insert(left.end(), m_waiting.begin(), m_waiting.end());
--- a/src/libs/relay/waiting_room.h
+++ b/src/libs/relay/waiting_room.h
@@ -14,9 +14,13 @@
 public:
     virtual ~waiting_request() = default;
 
-    /// Tries to find a place; returns false if there is none yet. A request that has ended returns true.
+    /// Tries to find a place; returns false if there is none yet.
     virtual bool tryPlace() = 0;
 
+    /// Ends the request, which has waited until `waitsUntil` in vain.
+    virtual void giveUp() = 0;
+    virtual base::time_point waitsUntil() const = 0;
+
     /// Service whose targets it waits for.
     virtual std::string_view service() const = 0;
 
--- a/tests/libs/relay/waiting_room_test.cpp
+++ b/tests/libs/relay/waiting_room_test.cpp
@@ -18,6 +18,7 @@
     int places = 0; ///< That are free now.
     int largest = 1'000'000; ///< Size that finds room.
     std::vector<std::string> placed;
+    std::vector<std::string> givenUp;
 
     struct request final : waiting_request {
         world* owner;
@@ -35,6 +36,8 @@
             owner->placed.push_back(name);
             return true;
         }
+        void giveUp() override { owner->givenUp.push_back(name); }
+        base::time_point waitsUntil() const override { return arrived + std::chrono::milliseconds(1500); }
         std::string_view service() const override { return "svc"; }
         int urgency() const override { return priority; }
         int size() const override { return tokens; }
@@ -108,6 +111,20 @@
     CHECK(w.placed.back() == "large");
 }
 
+TEST_CASE("every request that has waited long enough is refused, also behind another one")
+{
+    // Guards against requests that are held until their callers leave, since one before them found no room.
+    world w;
+    w.add("first", 0, 2'000);
+    w.add("behind", 0, 2'000);
+    w.add("larger", 1, 12'000);
+    w.run(std::chrono::milliseconds(1450));
+    CHECK(w.givenUp.empty());
+    w.run(std::chrono::milliseconds(100));
+    CHECK(w.givenUp == std::vector<std::string> { "first", "behind", "larger" });
+    CHECK(w.room.size() == 0);
+}
+
 TEST_CASE("a request that arrives does not pass those that wait")
 {
     // Guards against a stream of new requests that starves one that waits.
