--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -24,7 +24,10 @@
     , m_ports(ports)
     , m_options(std::move(opts))
     , m_pool(loop, time, {})
-    , m_targets(time, { .failureDomain = m_options.failureDomain })
+    , m_targets(time,
+          { .failureDomain = m_options.failureDomain,
+              .coldFactor = m_options.coldFactor,
+              .coldSlack = m_options.coldSlack })
     , m_chooser(time, m_targets, { .oldWeightsLimit = m_options.versionLimit * 7 / 10 })
     , m_catalog(time, {})
     , m_waiting(loop, time, {})
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -42,6 +42,9 @@
     /// Retries and refused sends that all processes may make, beyond a share of the requests.
     int retrySlack = 50;
     double retryShare = 0.2;
+    /// A cold target bears its stated rate times this factor, and the slack, within a second.
+    double coldFactor = 1;
+    double coldSlack = 0;
     /// A process that stops ends after this time, whatever is still running.
     base::duration drainLimit = std::chrono::seconds(7);
 };
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -43,6 +43,14 @@
             .maximum = 1'000'000 });
     reader.add("relay.retry_share", &retryShare,
         { .description = "Share of the requests that may be sent once more.", .minimum = 0, .maximum = 1 });
+    reader.add("relay.cold_factor", &coldFactor,
+        { .description = "Multiple of the stated rate of a cold target that it still bears.",
+            .minimum = 0.1,
+            .maximum = 100 });
+    reader.add("relay.cold_slack", &coldSlack,
+        { .description = "Requests within a second that a cold target bears beyond that multiple.",
+            .minimum = 0,
+            .maximum = 10'000 });
     reader.add("relay.drain_limit_ms", &drainLimit,
         { .description = "Longest time that a graceful shutdown waits for running requests.",
             .minimum = 0,
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds versionLimit { 6000 };
     std::int32_t retrySlack = 50;
     double retryShare = 0.2;
+    double coldFactor = 1.0;
+    double coldSlack = 0;
     std::chrono::milliseconds drainLimit { 7000 };
     std::string storeAddress = {}; ///< IP:PORT of the key-value service; required.
     base::log_level logLevel = base::log_level::Info;
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -172,7 +172,9 @@
     if (!service)
         return true;
     const base::time_point now = m_clock.now();
-    const intake_share share { .targetPerSecond = service->coldRequestsPerSecond,
+    const double stated = service->coldRequestsPerSecond;
+    const intake_share share { .targetPerSecond
+        = stated > 0 ? stated * m_options.coldFactor + m_options.coldSlack : 0,
         .processes = m_processes,
         .cold = now < target.coldUntil };
     return target.intake.allows(share.perSecond(), now);
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -36,6 +36,9 @@
 public:
     struct options {
         std::string failureDomain = {}; ///< Of this process.
+        /// A cold target bears its service's rate times this factor, and the slack, within a second.
+        double coldFactor = 1;
+        double coldSlack = 0;
         /// A target that is missing when the list is read again after an outage of its store may be about to
         /// register anew, so it is kept this long.
         base::duration missingGrace = std::chrono::milliseconds(2300);
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -29,6 +29,8 @@
         .versionLimit = settings.versionLimit,
         .retrySlack = settings.retrySlack,
         .retryShare = settings.retryShare,
+        .coldFactor = settings.coldFactor,
+        .coldSlack = settings.coldSlack,
         .drainLimit = settings.drainLimit };
 }
 
--- a/tests/libs/relay/transfer_window_test.cpp
+++ b/tests/libs/relay/transfer_window_test.cpp
@@ -86,7 +86,8 @@
 
 TEST_CASE("single slow transfers are the fault of their targets and leave the window alone")
 {
-    // Guards against parts that are read again since a few targets crashed: 0.9 M tokens on a day with three crashes.
+    // Guards against parts that are read again since a few targets crashed: 0.9 M tokens on a day with three
+    // crashes.
     transfer_window window({ .initial = 2 });
     base::time_point now { std::chrono::seconds(9) };
     const auto end = [&](base::duration excess) {
