List what a store holds where events are missing

Change: after a gap, and at a start whose first events are gone, the whole list is read once. Test red before (the follower had no list), green now.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -96,17 +96,31 @@
     if (found == m_stores.end())
         return;
     store_record& store = found->second;
-    if (batch.epoch != store.epoch || batch.lost) {
-        // A gap may hide that a part was freed, and a freed part must not be fetched.
-        store.parts.clear();
-        store.tokens = 0;
-        store.epoch = batch.epoch;
-        std::erase_if(m_saving, [&](const auto& entry) { return entry.second.store == address.text(); });
-    }
+    // A gap may hide that a part was freed, and a freed part must not be fetched.
+    if (batch.epoch != store.epoch || batch.lost)
+        clear(store, address.text(), batch.epoch);
     for (const context_event& event : batch.events)
         hold(store, event);
 }
 
+void context_catalog::replace(const net::endpoint& address, const context_event_batch& held)
+{
+    const auto found = m_stores.find(address.text());
+    if (found == m_stores.end())
+        return;
+    clear(found->second, address.text(), held.epoch);
+    for (const context_event& part : held.events)
+        hold(found->second, part);
+}
+
+void context_catalog::clear(store_record& store, const std::string& address, std::uint64_t epoch)
+{
+    store.parts.clear();
+    store.tokens = 0;
+    store.epoch = epoch;
+    std::erase_if(m_saving, [&](const auto& entry) { return entry.second.store == address; });
+}
+
 base::duration context_catalog::transferTime(const store_record& store, int tokens) const
 {
     constexpr double bitsPerByte = 8;
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -62,6 +62,9 @@
     /// Takes the events of the store at \a address.
     void take(const net::endpoint& address, const context_event_batch& batch);
 
+    /// Takes \a held as all that the store at \a address holds.
+    void replace(const net::endpoint& address, const context_event_batch& held);
+
     /// What to fetch and save for a prompt of \a parts; only the shared ones are kept, all but the last.
     struct planned {
         context_plan plan;
@@ -118,6 +121,7 @@
 
     /// Returns the part of \a key if \a store holds all its \a tokens, else null.
     static held_part* findWhole(store_record& store, const context_key& key, int tokens);
+    void clear(store_record& store, const std::string& address, std::uint64_t epoch);
     void hold(store_record& store, const context_event& event);
 
     const base::clock& m_clock;
--- a/src/libs/relay/context_follower.cpp
+++ b/src/libs/relay/context_follower.cpp
@@ -31,6 +31,24 @@
     return found == m_stores.end() ? 0 : found->second.epoch;
 }
 
+void context_follower::askList(const std::string& key)
+{
+    const auto found = m_stores.find(key);
+    if (found == m_stores.end())
+        return;
+    m_source.list(found->second.address, [this, key](base::result<context_event_batch> held) {
+        const auto store = m_stores.find(key);
+        if (store == m_stores.end())
+            return;
+        if (!held)
+            return askLater(key, m_options.retryPause);
+        m_catalog.replace(store->second.address, *held);
+        store->second.epoch = held->epoch;
+        store->second.since = held->next;
+        askLater(key, m_options.pause);
+    });
+}
+
 void context_follower::askLater(const std::string& key, base::duration pause)
 {
     m_timers.runAfter(pause, [this, key] { ask(key); });
@@ -48,6 +66,8 @@
                 return;
             if (!batch)
                 return askLater(key, m_options.retryPause);
+            if (batch->lost)
+                return askList(key);
             m_catalog.take(store->second.address, *batch);
             // Events of a store that has restarted are numbered anew.
             const bool restarted = store->second.epoch != 0 && store->second.epoch != batch->epoch;
--- a/src/libs/relay/context_follower.h
+++ b/src/libs/relay/context_follower.h
@@ -23,13 +23,17 @@
         callback<context_event_batch> done)
         = 0;
 
+    /// Returns everything that the store holds whole, as events, with the number of the next event.
+    virtual void list(const net::endpoint& store, callback<context_event_batch> done) = 0;
+
     /// Frees \a parts if the store has still \a epoch.
     virtual void free(const net::endpoint& store, std::uint64_t epoch, const std::vector<context_key>& parts,
         callback<void> done)
         = 0;
 };
 
-/// Keeps the catalog up to date with the events of all stores.
+/// Keeps the catalog up to date with the events of all stores. The whole list is read only where events are
+/// missing, at the start or after a gap, since a list takes time of the store.
 class context_follower {
 public:
     struct options {
@@ -54,6 +58,7 @@
     };
 
     void ask(const std::string& key);
+    void askList(const std::string& key);
     void askLater(const std::string& key, base::duration pause);
 
     context_catalog& m_catalog;
--- a/tests/platform/clients_test.cpp
+++ b/tests/platform/clients_test.cpp
@@ -193,4 +193,14 @@
     CHECK(events->events[0].scope == "s1");
     CHECK(events->events[0].tokens == 800);
     CHECK_FALSE(events->events[1].stored);
+
+    peer.body = R"({"Epoch":77120,"Next":120,"Held":[["s1","5c",800,"m"]],"Partial":[["s1","91",16,128]]})";
+    const auto held
+        = peer.run<relay::context_event_batch>([&](auto done) { client.list(peer.address(), done); });
+    REQUIRE(held);
+    CHECK(peer.path == "/-/kv-list");
+    CHECK(held->next == 120);
+    REQUIRE(held->events.size() == 1); // a part that is still being written is none
+    CHECK(held->events[0].partId == "5c");
+    CHECK(held->events[0].tokens == 800);
 }
