Free replaced context also when weights change twice in a row

Change: the time is kept for each version that all targets have passed, and a registration does not lower a version that an answer has shown.

--- a/src/libs/relay/context_keeper.cpp
+++ b/src/libs/relay/context_keeper.cpp
@@ -23,16 +23,19 @@
 bool context_keeper::isReplaced(const context_scope& scope)
 {
     const auto found = m_complete.find(scope.model);
-    return found != m_complete.end() && scope.weightVersion < found->second.version
-        && m_clock.now() - found->second.since >= m_options.settle;
+    if (found == m_complete.end())
+        return false;
+    const auto newer = found->second.upper_bound(scope.weightVersion);
+    return newer != found->second.end() && m_clock.now() - newer->second >= m_options.settle;
 }
 
 void context_keeper::sweep()
 {
     for (const auto& [model, version] : m_targets.oldestVersions()) {
-        complete_version& complete = m_complete[model];
-        if (complete.version != version)
-            complete = { .version = version, .since = m_clock.now() };
+        auto& complete = m_complete[model];
+        complete.emplace(version, m_clock.now());
+        // A target that joined with older weights makes the newer ones incomplete.
+        complete.erase(complete.upper_bound(version), complete.end());
     }
     if (!m_lease.mayOrder())
         return;
--- a/src/libs/relay/context_keeper.h
+++ b/src/libs/relay/context_keeper.h
@@ -39,11 +39,8 @@
     const base::clock& m_clock;
     const base::event_log& m_log;
     options m_options;
-    struct complete_version {
-        int version = 0;
-        base::time_point since {};
-    };
-    std::map<std::string, complete_version, std::less<>> m_complete; ///< On all targets, by model.
+    /// Versions that all targets have had, by model, with the time from which on.
+    std::map<std::string, std::map<int, base::time_point>, std::less<>> m_complete;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -59,11 +59,16 @@
     const bool isNew = !held;
     if (isNew)
         held = std::make_shared<target_record>();
+    // A registration may have been written before the target changed the weights that its answers have shown.
+    const auto seenVersions = std::move(held->registration.weightVersions);
     held->registration = registration;
-    noteVersions(registration);
+    for (auto& [model, version] : held->registration.weightVersions)
+        if (const auto seen = seenVersions.find(model); seen != seenVersions.end())
+            version = std::max(version, seen->second);
+    noteVersions(held->registration);
     if (registration.coldFor > base::duration::zero())
         held->coldUntil = m_clock.now() + registration.coldFor;
-    held->index = m_table.put(infoOf(registration));
+    held->index = m_table.put(infoOf(held->registration));
     m_table.setState(held->index,
         registration.draining ? routing::target_state::Draining : routing::target_state::Serving);
     if (!isNew)
