--- a/src/libs/relay/depends.cmake
+++ b/src/libs/relay/depends.cmake
@@ -1,1 +1,1 @@
-set(DEPENDS marigold_base marigold_net marigold_routing marigold_platform marigold_outcome marigold_control marigold_settings fmt event http_parser)
+set(DEPENDS marigold_base marigold_net marigold_routing marigold_platform marigold_outcome marigold_control marigold_settings prometheus-cpp-core fmt event http_parser)
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -9,9 +9,10 @@
 inline constexpr base::event_definition requestEnded { .id = "MB-2001",
     .level = base::log_level::Info,
     .name = "relay_request_ended",
-    .meaning
-    = "A request was answered or broke off; fields: request, route, outcome, status, verdict, target, "
-      "attempts, age_ms, first_ms, reason.",
+    .meaning = "A request was answered or broke off; fields: request, route, outcome, status, verdict, "
+               "attempts, age_ms, first_ms, prompt_tokens, shared_tokens, kept_tokens, scope, part, reason "
+               "(the target "
+               "of an answered one).",
     .action = "" };
 
 inline constexpr base::event_definition attemptFailed { .id = "MB-2002",
--- /dev/null
+++ b/src/libs/relay/relay_metrics.cpp
@@ -0,0 +1,105 @@
+#include "relay_metrics.h"
+
+#include <array>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace marigold::relay {
+
+namespace {
+
+/// Seconds; the goals of routes lie between 0.2 s and a few seconds.
+const prometheus::Histogram::BucketBoundaries latencyBounds { 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5,
+    2, 4, 8 };
+
+std::string statusClass(int status)
+{
+    constexpr int perClass = 100;
+    return status == 0 ? "none" : std::to_string(status / perClass) + "xx";
+}
+
+} // namespace
+
+std::string_view nameOf(relay_outcome outcome)
+{
+    constexpr std::array<std::string_view, 4> names { "answered", "own_answer", "broken", "caller_gone" };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+struct relay_metrics::families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter()
+                                                            .Name("marigold_relay_requests_total")
+                                                            .Help("Requests that ended")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Histogram>& firstByte
+        = prometheus::BuildHistogram()
+              .Name("marigold_relay_first_byte_seconds")
+              .Help("From the arrival of a request to the first byte of its answer")
+              .Register(registry);
+    prometheus::Family<prometheus::Counter>& sends
+        = prometheus::BuildCounter()
+              .Name("marigold_relay_sends_total")
+              .Help("Requests sent to targets, first ones and repeated ones")
+              .Register(registry);
+    prometheus::Family<prometheus::Counter>& tokens
+        = prometheus::BuildCounter()
+              .Name("marigold_relay_prompt_tokens_total")
+              .Help("Prompt tokens of answered requests: all, shared, and planned to be fetched")
+              .Register(registry);
+    prometheus::Family<prometheus::Gauge>& state
+        = prometheus::BuildGauge().Name("marigold_relay_state").Help("Present state").Register(registry);
+};
+
+relay_metrics::relay_metrics()
+    : m_families(std::make_unique<families>())
+{
+}
+
+relay_metrics::~relay_metrics() = default;
+
+void relay_metrics::requestEnded(const ended_request& request)
+{
+    const std::string kind(nameOf(request.kind));
+    m_families->requests
+        .Add({ { "kind", kind }, { "outcome", std::string(nameOf(request.outcome)) },
+            { "verdict", std::string(base::nameOf(request.verdict)) },
+            { "status", statusClass(request.status) } })
+        .Increment();
+    if (request.sends > 0)
+        m_families->sends.Add({ { "kind", kind }, { "attempt", "first" } }).Increment();
+    if (request.sends > 1)
+        m_families->sends.Add({ { "kind", kind }, { "attempt", "repeated" } }).Increment(request.sends - 1);
+    if (request.firstByteAfter)
+        m_families->firstByte.Add({ { "kind", kind } }, latencyBounds)
+            .Observe(std::chrono::duration<double>(*request.firstByteAfter).count());
+    if (request.outcome != relay_outcome::Answered || request.promptTokens == 0)
+        return;
+    m_families->tokens.Add({ { "part", "all" } }).Increment(request.promptTokens);
+    m_families->tokens.Add({ { "part", "shared" } }).Increment(request.sharedTokens);
+    m_families->tokens.Add({ { "part", "fetched" } }).Increment(request.fetchedTokens);
+}
+
+std::string relay_metrics::exposition(const relay_gauges& gauges)
+{
+    const std::array<std::pair<const char*, double>, 9> values { {
+        { "config_version", static_cast<double>(gauges.configVersion) },
+        { "targets", static_cast<double>(gauges.targets) },
+        { "waiting_requests", static_cast<double>(gauges.waiting) },
+        { "open_requests", static_cast<double>(gauges.requests) },
+        { "caller_connections", static_cast<double>(gauges.callers) },
+        { "processes", static_cast<double>(gauges.processes) },
+        { "holds_order_lease", gauges.holdsOrderLease ? 1.0 : 0.0 },
+        { "store_reachable", gauges.storeReachable ? 1.0 : 0.0 },
+        { "loop_lag_seconds", std::chrono::duration<double>(gauges.loopLag).count() },
+    } };
+    for (const auto& [name, value] : values)
+        m_families->state.Add({ { "of", name } }).Set(value);
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+} // namespace marigold::relay
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -45,6 +45,7 @@
         .chooser = m_chooser,
         .context = m_catalog,
         .waiting = m_waiting,
+        .metrics = m_metrics,
         .retryBudget = m_retryBudget,
         .config = nullptr }
     , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
@@ -66,6 +67,8 @@
           })
     , m_readiness(loop, m_options.readiness,
           [this](caller_connection& caller, message_head&&, std::string&&) { readinessAsked(caller); })
+    , m_metricsListener(loop, m_options.metrics,
+          [this](caller_connection& caller, message_head&&, std::string&&) { metricsAsked(caller); })
 {
 }
 
@@ -73,7 +76,7 @@
 
 base::result<void> relay_server::start()
 {
-    for (caller_listener* listener : { &m_callers, &m_readiness })
+    for (caller_listener* listener : { &m_callers, &m_readiness, &m_metricsListener })
         if (auto listening = listener->listen(); !listening)
             return listening;
     if (auto bound = m_datagrams.bind(m_options.peers); !bound)
@@ -109,6 +112,21 @@
     caller.answer(!m_draining && m_services.config ? ready : notReady, {}, {});
 }
 
+void relay_server::metricsAsked(caller_connection& caller)
+{
+    const relay_gauges gauges { .configVersion = m_services.config ? m_services.config->version() : 0,
+        .targets = m_targets.targets().size(),
+        .waiting = m_waiting.size(),
+        .requests = m_sessions.size(),
+        .callers = m_callers.connections(),
+        .processes = m_targets.processes(),
+        .holdsOrderLease = m_lease.mayOrder(),
+        .storeReachable = m_follower.isReachable(),
+        .loopLag = std::exchange(m_loopLag, base::duration::zero()) };
+    constexpr int ok = 200;
+    caller.answer(ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.exposition(gauges));
+}
+
 void relay_server::houseKeeping()
 {
     m_targets.removeMissing();
@@ -118,6 +136,10 @@
 
 void relay_server::checkSilence()
 {
+    const base::time_point now = m_clock.now();
+    if (m_lastSilenceCheck != base::time_point {})
+        m_loopLag = std::max(m_loopLag, now - m_lastSilenceCheck - silenceInterval);
+    m_lastSilenceCheck = now;
     std::vector<relay_session*> sessions;
     for (const auto& [key, session] : m_sessions)
         sessions.push_back(key);
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -33,6 +33,7 @@
     std::string failureDomain;
     net::endpoint callers; ///< Where callers connect.
     net::endpoint peers; ///< For datagrams of the other processes.
+    net::endpoint metrics; ///< Where metrics are served.
     net::endpoint readiness; ///< Where the platform asks whether callers may connect.
     bool targetsCheckTokens = true;
     /// Orders of two holders within this time count as concurrent.
@@ -70,6 +71,7 @@
 
     void requestArrived(caller_connection& caller, message_head&& head, std::string&& body);
     void readinessAsked(caller_connection& caller);
+    void metricsAsked(caller_connection& caller);
     void setConfig(std::shared_ptr<const relay_config> config);
     void applyExcluded();
     void applyProcesses();
@@ -88,6 +90,7 @@
     target_chooser m_chooser;
     context_catalog m_catalog;
     waiting_room m_waiting;
+    relay_metrics m_metrics;
     routing::retry_budget m_retryBudget;
     relay_services m_services;
     state_follower m_follower;
@@ -103,6 +106,9 @@
     load_exchange m_loads;
     caller_listener m_callers;
     caller_listener m_readiness;
+    caller_listener m_metricsListener;
+    base::time_point m_lastSilenceCheck {};
+    base::duration m_loopLag { 0 };
     bool m_draining = false;
 };
 
--- a/src/libs/relay/relay_services.h
+++ b/src/libs/relay/relay_services.h
@@ -2,6 +2,7 @@
 
 #include "context_catalog.h"
 #include "relay_config.h"
+#include "relay_metrics.h"
 #include "target_chooser.h"
 #include "target_pool.h"
 #include "target_registry.h"
@@ -28,6 +29,7 @@
     target_chooser& chooser;
     context_catalog& context;
     waiting_room& waiting;
+    relay_metrics& metrics;
     routing::retry_budget& retryBudget;
     std::shared_ptr<const relay_config> config; ///< Null until the first one is known.
 };
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -380,7 +380,7 @@
         m_caller->writePiece(m_events.takePartial());
         m_caller->endAnswer();
     }
-    finish("answered", m_answerHead.status, target->registration.id);
+    finish(relay_outcome::Answered, m_answerHead.status, target->registration.id);
 }
 
 void relay_session::answerFails(const base::error& failure)
@@ -441,29 +441,38 @@
         m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
         attemptEnded();
     }
-    finish("caller_gone", 0, "");
+    finish(relay_outcome::CallerGone, 0, "");
 }
 
 void relay_session::answerOwn(int status, base::duration retryAfter, std::string_view reason)
 {
     if (m_callerHasHead) {
         m_caller->abort();
-        return finish("broken", 0, reason);
+        return finish(relay_outcome::Broken, 0, reason);
     }
     m_caller->answer(status, m_services.dialect.ownAnswerFields(m_request.attemptId, retryAfter), {});
-    finish("own_answer", status, reason);
+    finish(relay_outcome::OwnAnswer, status, reason);
 }
 
-void relay_session::finish(std::string_view outcome, int status, std::string_view reason)
+void relay_session::finish(relay_outcome outcome, int status, std::string_view reason)
 {
     if (std::exchange(m_ended, true))
         return;
     m_services.loop.cancel(std::exchange(m_limitTimer, 0));
     if (std::exchange(m_waits, false))
         m_services.waiting.remove(*this);
+    m_services.metrics.requestEnded({ .kind = m_route ? m_route->kind : request_kind::NonIdempotent,
+        .outcome = outcome,
+        .verdict = m_verdict,
+        .status = status,
+        .sends = m_sends,
+        .firstByteAfter = m_firstByteAfter,
+        .promptTokens = m_request.promptTokens,
+        .sharedTokens = m_request.sharedTokens(),
+        .fetchedTokens = m_context.keptTokens });
     m_services.log.write(events::requestEnded,
         { { "request", m_request.attemptId }, { "route", m_route ? m_route->name : std::string() },
-            { "outcome", std::string(outcome) }, { "status", std::to_string(status) },
+            { "outcome", std::string(nameOf(outcome)) }, { "status", std::to_string(status) },
             { "verdict", std::string(base::nameOf(m_verdict)) }, { "attempts", std::to_string(m_sends) },
             { "age_ms", std::to_string(elapsed().count() / 1000) },
             { "first_ms",
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -70,7 +70,7 @@
     void beginForwarding();
     void answerOwn(int status, base::duration retryAfter, std::string_view reason);
     void limitReached();
-    void finish(std::string_view outcome, int status, std::string_view reason);
+    void finish(relay_outcome outcome, int status, std::string_view reason);
 
     base::time_point now() const { return m_services.clock.now(); }
     base::duration elapsed() const { return now() - m_arrivedAt; }
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -21,6 +21,10 @@
         { .description = "Address for datagrams of the other relay processes.",
             .format = setting_format::Endpoint,
             .required = true });
+    reader.add("relay.metrics_address", &metricsAddress,
+        { .description = "Address where metrics are served.",
+            .format = setting_format::Endpoint,
+            .required = true });
     reader.add("relay.readiness_address", &readinessAddress,
         { .description = "Address for the readiness probe of the load balancer.",
             .format = setting_format::Endpoint,
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -13,6 +13,7 @@
     std::string failureDomain = {}; ///< Required.
     std::string callersAddress = {}; ///< IP:PORT for callers; required.
     std::string peersAddress = {}; ///< IP:PORT for datagrams of the other processes; required.
+    std::string metricsAddress = {}; ///< IP:PORT where metrics are served; required.
     std::string readinessAddress = {}; ///< IP:PORT for the readiness probe; required.
     bool targetsCheckTokens = false;
     std::chrono::milliseconds orderSettle { 3000 };
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -23,6 +23,7 @@
         .failureDomain = settings.failureDomain,
         .callers = endpointOf(settings.callersAddress),
         .peers = endpointOf(settings.peersAddress),
+        .metrics = endpointOf(settings.metricsAddress),
         .readiness = endpointOf(settings.readinessAddress),
         .targetsCheckTokens = settings.targetsCheckTokens,
         .orderSettle = settings.orderSettle,
--- a/tests/libs/relay/context_follower_test.cpp
+++ b/tests/libs/relay/context_follower_test.cpp
@@ -44,7 +44,7 @@
     void events(const net::endpoint&, std::uint64_t since, base::duration,
         callback<context_event_batch> done) override
     {
-        m_timers.runAfter(delay, [this, since, done] {
+        m_timers.runAfter(m_delay, [this, since, done] {
             if (down)
                 return done(base::mayHaveRun(base::error_reason::Unavailable, "down"));
             const std::uint64_t last = m_events.size();
@@ -58,7 +58,7 @@
     void list(const net::endpoint&, callback<context_event_batch> done) override
     {
         ++lists;
-        m_timers.runAfter(delay, [this, done] {
+        m_timers.runAfter(m_delay, [this, done] {
             context_event_batch batch { .epoch = m_epoch, .next = m_events.size() };
             for (const auto& [part, tokens] : parts)
                 batch.events.push_back({ .stored = true, .scope = "s", .partId = part, .tokens = tokens });
@@ -74,7 +74,7 @@
     std::size_t m_kept;
     std::uint64_t m_epoch = 1;
     std::vector<context_event> m_events;
-    base::duration delay { 2000 };
+    base::duration m_delay { 2000 };
 };
 
 struct world {
--- a/tests/libs/relay/orders_test.cpp
+++ b/tests/libs/relay/orders_test.cpp
@@ -56,7 +56,7 @@
 
     void report(const target_registration& target, callback<target_report> done) override
     {
-        m_timers.runAfter(delay, [this, id = target.id, done] {
+        m_timers.runAfter(m_delay, [this, id = target.id, done] {
             const target_state& state = targets[id];
             done(target_report { .weightVersions = { { "m", state.version } },
                 .busy = state.busy,
@@ -67,7 +67,7 @@
     void order(
         const target_registration& target, const weights_order& order, callback<order_answer> done) override
     {
-        m_timers.runAfter(delay, [this, id = target.id, order, done] {
+        m_timers.runAfter(m_delay, [this, id = target.id, order, done] {
             const order_answer answer = take(id, order);
             if (loseAnswers)
                 return done(base::mayHaveRun(base::error_reason::DeadlineExceeded, "lost"));
@@ -104,7 +104,7 @@
 
     base::clock& m_clock;
     base::scheduler& m_timers;
-    base::duration delay { 3000 };
+    base::duration m_delay { 3000 };
 };
 
 /// One relay process, as far as orders are concerned.
--- a/tests/libs/relay/small_parts_test.cpp
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 using namespace marigold;
@@ -39,7 +40,7 @@
         const int events = *rc::gen::inRange(0, 12);
         const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
         for (int i = 1; i <= events; ++i)
-            stream += "id: " + std::to_string(i) + end + "data: x" + std::to_string(i) + end + end;
+            stream += fmt::format("id: {0}{1}data: x{0}{1}{1}", i, end);
         const std::string partial = "id: 999" + end + "data: bro";
         const std::string all = stream + partial;
         event_scanner scanner;
--- a/tests/libs/settings/reference_test.cpp
+++ b/tests/libs/settings/reference_test.cpp
@@ -1,5 +1,6 @@
 #include <agent/agent_settings.h>
 #include <entry/entry_settings.h>
+#include <relay/relay_settings.h>
 #include <settings/settings.h>
 
 #include <doctest/doctest.h>
@@ -23,12 +24,14 @@
     settings::tls_settings tls;
     entry::entry_settings entry;
     agent::agent_settings agent;
+    relay::relay_settings relay;
     process.registerSettings(reader);
     cluster.registerSettings(reader);
     kv.registerSettings(reader);
     tls.registerSettings(reader);
     entry.registerOwnSettings(reader);
     agent.registerOwnSettings(reader);
+    relay.registerSettings(reader);
     return "# Settings\n\n"
            "A process reads its settings at the start. A value is taken from the default, the TOML file, "
            "the\n"
--- a/tests/platform/whole_path_test.cpp
+++ b/tests/platform/whole_path_test.cpp
@@ -86,6 +86,7 @@
                 .failureDomain = "z",
                 .callers = callers,
                 .peers = any,
+                .metrics = any,
                 .readiness = any,
                 .drainLimit = std::chrono::milliseconds(300) });
         REQUIRE(server->start());
