--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -47,6 +47,7 @@
         .waiting = m_waiting,
         .metrics = m_metrics,
         .retryBudget = m_retryBudget,
+        .startedAt = time.now(),
         .config = nullptr }
     , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
     , m_presence(
--- a/src/libs/relay/relay_services.h
+++ b/src/libs/relay/relay_services.h
@@ -31,6 +31,7 @@
     waiting_room& waiting;
     relay_metrics& metrics;
     routing::retry_budget& retryBudget;
+    base::time_point startedAt {}; ///< Of the process.
     std::shared_ptr<const relay_config> config; ///< Null until the first one is known.
 };
 
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -67,7 +67,7 @@
         return answerOwn(400, {}, request.error().message);
     m_request = std::move(*request);
     if (!m_config)
-        return answerOwn(503, unavailableRetryAfter, "no_configuration");
+        return answerOwn(503, unconfiguredRetryAfter(), "no_configuration");
     if (!readRoute())
         return;
     const base::duration limit = std::min(m_route->timeout, m_request.timeLimit.value_or(m_route->timeout));
@@ -82,6 +82,14 @@
     dispatch();
 }
 
+base::duration relay_session::unconfiguredRetryAfter() const
+{
+    // An outage that has lasted for a while will probably last as long again.
+    constexpr base::duration shortest = std::chrono::milliseconds(300);
+    constexpr base::duration longest = std::chrono::seconds(3);
+    return std::clamp(now() - m_services.startedAt, shortest, longest);
+}
+
 bool relay_session::readRoute()
 {
     m_route = m_config->findRoute(m_request.host, m_head.target);
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -56,6 +56,7 @@
         Failed, ///< An answer that is not passed on, since another attempt follows.
     };
 
+    base::duration unconfiguredRetryAfter() const;
     bool readRoute();
     void setScope(int weightVersion);
     void dispatch();
--- a/src/libs/relay/state_follower.h
+++ b/src/libs/relay/state_follower.h
@@ -36,7 +36,7 @@
         /// configuration to be in force within two seconds.
         base::duration watchPatience = std::chrono::milliseconds(1300);
         base::duration firstRetry = std::chrono::milliseconds(100);
-        base::duration longestRetry = std::chrono::milliseconds(800);
+        base::duration longestRetry = std::chrono::milliseconds(400);
         std::string prefix = {}; ///< Of the keys to follow; empty for all.
     };
 
