--- a/src/libs/base/base.h
+++ b/src/libs/base/base.h
@@ -4,6 +4,7 @@
 /// Public header of the base library: verdicts, errors, time, randomness, digests and the event log.
 
 #include "base64.h"
+#include "bounded_output.h"
 #include "clock.h"
 #include "digest.h"
 #include "error.h"
--- a/src/libs/base/event_log.cpp
+++ b/src/libs/base/event_log.cpp
@@ -70,7 +70,9 @@
                 += fmt::format(" {}={}", field.key, isPlain(field.value) ? field.value : quoted(field.value));
         line += '\n';
     }
-    if (m_options.output)
+    if (m_options.leveledOutput)
+        m_options.leveledOutput(line, event.level);
+    else if (m_options.output)
         m_options.output(line);
     else
         fmt::print(stderr, "{}", line);
--- a/src/libs/base/event_log.h
+++ b/src/libs/base/event_log.h
@@ -43,12 +43,14 @@
 class event_log {
 public:
     using sink = std::function<void(std::string_view line)>;
+    using leveled_sink = std::function<void(std::string_view line, log_level level)>;
 
     struct options {
         log_level minimum = log_level::Info;
         log_format format = log_format::KeyValue;
         std::string process = {}; ///< Name of this process, repeated on each line.
         sink output = {}; ///< Standard error when empty.
+        leveled_sink leveledOutput = {}; ///< Instead of `output`, if set.
     };
 
     event_log()
