--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -45,7 +45,10 @@
         /// Once this share of a service's targets has the newest weights, only these are chosen.
         double newWeightsShare = 0.5;
         /// Requests that begin on older weights after this time from the naming are a broken promise.
-        base::duration oldWeightsLimit = std::chrono::seconds(5);
+        base::duration versionLimit = std::chrono::seconds(6);
+        /// Share of that time after which none is sent to older weights: it may wait at its target for
+        /// seconds before it begins.
+        double oldWeightsShare = 0.5;
     };
 
     target_chooser(const base::clock& time, target_registry& targets, options opts);
