--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -14,10 +14,6 @@
 /// Requests at a silent target are found this soon.
 constexpr base::duration silenceInterval = std::chrono::milliseconds(100);
 
-/// A request may wait at its target for seconds before it begins, and must not begin on old weights after the
-/// limit; so none is sent to them in the second half of that time.
-constexpr int oldWeightsDivisor = 2;
-
 } // namespace
 
 relay_server::relay_server(net::event_loop& loop, const base::clock& time, const base::event_log& log,
@@ -32,7 +28,7 @@
           { .failureDomain = m_options.failureDomain,
               .coldFactor = m_options.coldFactor,
               .coldSlack = m_options.coldSlack })
-    , m_chooser(time, m_targets, { .oldWeightsLimit = m_options.versionLimit / oldWeightsDivisor })
+    , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
     , m_catalog(time, {})
     , m_waiting(loop, time, {})
     , m_retryBudget({ .percent = static_cast<int>(m_options.retryShare * 75),
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -18,6 +18,12 @@
         named = { .version = version, .since = m_clock.now() };
 }
 
+base::duration target_chooser::oldWeightsLimit() const
+{
+    const auto limit = static_cast<double>(m_options.versionLimit.count());
+    return base::duration(static_cast<std::int64_t>(m_options.oldWeightsShare * limit));
+}
+
 std::string target_chooser::requiredVersion(const placement_request& request) const
 {
     const auto named = m_named.find(request.model);
@@ -27,7 +33,7 @@
     const int newest = m_targets.newestVersion(request.service, request.model);
     const int wanted = std::max(named->second.version, newest);
     const bool late
-        = wanted == named->second.version && m_clock.now() - named->second.since >= m_options.oldWeightsLimit;
+        = wanted == named->second.version && m_clock.now() - named->second.since >= oldWeightsLimit();
     const double share = m_targets.shareWithVersion(request.service, request.model, wanted);
     return late || share >= m_options.newWeightsShare ? std::to_string(wanted) : std::string();
 }
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -61,6 +61,7 @@
     const std::map<std::string, named_version, std::less<>>& namedVersions() const { return m_named; }
 
 private:
+    base::duration oldWeightsLimit() const;
     std::string requiredVersion(const placement_request& request) const;
 
     const base::clock& m_clock;
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -171,9 +171,12 @@
     w.targets.versionSeen(w.record(1), model, 2);
     CHECK(w.chosen(100) == std::set<std::string> { "t0", "t1" });
 
+    // A request sent 4.0 s after the naming began 2.2 s later: VERSION on the day orders-late, seed 2.
     world late(2);
     late.chooser.setNamedVersion(model, 2);
-    late.clock.advance(std::chrono::seconds(6));
+    late.clock.advance(std::chrono::milliseconds(2900));
+    CHECK(late.choose().outcome == placement_outcome::Chosen);
+    late.clock.advance(std::chrono::milliseconds(200));
     CHECK(late.choose().outcome == placement_outcome::NoTarget);
 }
 
