--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -22,7 +22,7 @@
         /// Between two digests while there are few peers.
         base::duration interval = std::chrono::milliseconds(120);
         /// Datagrams a second that this process sends at most; with more peers each hears of it less often.
-        double maxDatagramsPerSecond = 250;
+        double maxDatagramsPerSecond = 80;
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
