Add a soak of real relay processes; end in order when stopped at the start

tests/soak: stand-ins of the store and of targets, a loopback proxy, signals to real processes, and a checker of what callers and targets see, with a test of each of its rules. Change: a handler from the first line of main, and the loop's before the listeners.

--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -4,7 +4,7 @@
 #include <relay/relay.h>
 
 #include <csignal>
-#include <cstdio>
+#include <cstdlib>
 
 #include <fmt/format.h>
 
@@ -69,12 +69,12 @@
     relay::relay_server server(loop, clock, log,
         { .dialect = dialect, .decoder = decoder, .store = store, .control = targets, .context = targets },
         optionsOf(settings, random));
+    loop.onSignal(SIGTERM, [&] { server.drain(); });
+    loop.onSignal(SIGINT, [&] { server.drain(); });
     if (const auto started = server.start(); !started) {
         fmt::print(stderr, "{}\n", started.error().message);
         return 1;
     }
-    loop.onSignal(SIGTERM, [&] { server.drain(); });
-    loop.onSignal(SIGINT, [&] { server.drain(); });
     loop.run();
     return 0;
 }
@@ -83,6 +83,8 @@
 
 int main(int argc, char** argv)
 {
+    // A stop before the loop handles signals has nothing to finish.
+    std::signal(SIGTERM, [](int) { std::_Exit(0); });
     relay::relay_settings settings;
     settings::settings_reader reader;
     settings.registerSettings(reader);
--- /dev/null
+++ b/tests/soak/checker_test.py
@@ -0,0 +1,88 @@
+"""Guards against a checker that cannot fail: each broken promise must be seen."""
+
+import hashlib
+import time
+import unittest
+
+from checker import Checker
+
+
+class FakeTarget:
+    def __init__(self, name):
+        self.name = name
+
+    def id(self):
+        return self.name
+
+
+class FakeRequest:
+    def __init__(self, target, **headers):
+        self.target = target
+        self.headers = {"x-tenant": "team", **headers}
+
+    def header(self, name, default=""):
+        return self.headers.get(name, default)
+
+
+def whole(attempt, body):
+    return hashlib.sha256(attempt.encode() + body).hexdigest().encode()
+
+
+class CheckerTest(unittest.TestCase):
+    def setUp(self):
+        self.checker = Checker()
+        self.target = FakeTarget("t")
+
+    def rules(self):
+        return [line.split(":")[0] for line in self.checker.violations]
+
+    def test_good_day(self):
+        self.checker.ran("a", FakeRequest("/once/x"), self.target)
+        self.checker.answered("a", "/once/x", b"b", 200, {"x-attempt-id": "a", "x-server-seal": "seal"},
+                              whole("a", b"b"), True)
+        self.checker.ran("c", FakeRequest("/safe/x"), self.target)
+        self.checker.ran("c", FakeRequest("/safe/x"), self.target)
+        self.checker.ordered("t", "p", 1)
+        self.checker.ordered("t", "q", 2)
+        self.checker.run_after_refusal()
+        self.assertEqual(self.rules(), [])
+
+    def test_run_twice(self):
+        for _ in range(2):
+            self.checker.ran("a", FakeRequest("/once/x"), self.target)
+        self.assertEqual(self.rules(), ["TWICE"])
+
+    def test_false_refusal(self):
+        self.checker.ran("a", FakeRequest("/once/x"), self.target)
+        self.checker.answered("a", "/once/x", b"", 503, {}, b"", True)
+        self.assertEqual(self.rules()[0], "REFUSED")
+
+    def test_run_after_refusal(self):
+        self.checker.answered("a", "/stream/x", b"", 503, {}, b"", True)
+        self.checker.ran("a", FakeRequest("/stream/x"), self.target)
+        self.checker.run_after_refusal()
+        self.assertEqual(self.rules(), ["REFUSED"])
+
+    def test_foreign_answer_and_broken_stream(self):
+        sealed = {"x-attempt-id": "z", "x-server-seal": "seal"}
+        self.checker.answered("a", "/safe/x", b"", 200, sealed, whole("a", b""), True)
+        self.checker.answered("b", "/safe/x", b"", 200, dict(sealed, **{"x-attempt-id": "b"}), b"other", True)
+        self.checker.answered("c", "/stream/x", b"", 200, dict(sealed, **{"x-attempt-id": "c"}), b"id: 1", True)
+        self.assertEqual(self.rules(), ["MIXED", "MIXED", "ORDER"])
+
+    def test_wrong_team_denial_and_leaving_target(self):
+        self.checker.ran("a", FakeRequest("/safe/x", **{"x-tenant": "other"}), self.target)
+        self.checker.answered("b", "/safe/x", b"", 404, {}, b"", True)
+        self.checker.draining_since["t"] = time.monotonic() - 3
+        self.checker.ran("c", FakeRequest("/safe/x"), self.target)
+        self.assertEqual(self.rules(), ["UNASKED", "DENIED", "DRAIN"])
+
+    def test_orders(self):
+        self.checker.ordered("t", "p", 2)
+        self.checker.ordered("t", "q", 2)
+        self.checker.ordered("t", "p", 1)
+        self.assertEqual(self.rules(), ["ONE", "ONE"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,300 @@
+#!/usr/bin/env python3
+"""Randomized soak: real relay processes, faults from outside, promises checked from callers and targets.
+
+    tests/soak/soak.py --relay build/src/marigold-relay --seed 1 --seconds 10
+
+Prints one line and ends with 1 if a promise broke; logs of the processes stay in --logs/SEED.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import time
+
+from checker import Checker
+from standins import Store, Target
+from wire import Proxy, read_answer
+
+ROUTES = {"safe": "idempotent", "once": "non_idempotent", "stream": "streaming", "resume": "streaming"}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version):
+    routes = [{"Name": name, "Host": "h", "Prefix": f"/{name}/", "Kind": kind, "TimeoutMs": 1500,
+               "TargetLatencyMs": 300, "Service": "svc", "MaxAttempts": 2, "Resumable": name == "resume"}
+              for name, kind in ROUTES.items()]
+    if version % 2 == 0:
+        routes.append(dict(routes[0], Name="extra", Prefix="/extra/"))
+    services = [{"Name": "svc", "MaxConnections": 200,
+                 "Engine": {"Slots": 16, "KvCapacityTokens": 100000, "KvTokenBytes": 1000, "LinkMbps": 1000,
+                            "Models": [{"Name": "m"}]}}]
+    limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 5000}
+    return json.dumps({"Version": version, "Routes": routes, "Services": services, "Limits": limits,
+                       "Tenants": [{"Name": "team", "ApiKeys": ["key"]}]}).encode()
+
+
+class Relay:
+    """One relay process and its restarts; ends only what it started."""
+
+    def __init__(self, number, binary, store_port, folder):
+        self.number = number
+        self.binary = binary
+        self.folder = folder
+        self.callers = free_port()
+        self.settings = os.path.join(folder, f"relay-{number}.toml")
+        with open(self.settings, "w", encoding="ascii") as file:
+            file.write(f"""[relay]
+process = "relay-{number}"
+failure_domain = "z"
+callers_address = "127.0.0.1:{self.callers}"
+peers_address = "127.0.0.1:{free_port()}"
+metrics_address = "127.0.0.1:{free_port()}"
+readiness_address = "127.0.0.1:{free_port()}"
+targets_check_tokens = true
+retry_slack = 1000
+drain_limit_ms = 4000
+
+[store]
+address = "127.0.0.1:{store_port}"
+""")
+        self.process = None
+        self.replacing = asyncio.Lock()  # One fault at a time ends and starts this process.
+
+    async def start(self):
+        log = open(os.path.join(self.folder, f"relay-{self.number}.log"), "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            self.binary, "--config", self.settings, stdout=log, stderr=log)
+        log.close()
+
+    def send(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def ended(self):
+        await self.process.wait()
+        return self.process.returncode
+
+
+class Soak:
+    def __init__(self, options):
+        self.random = random.Random(options.seed)
+        self.options = options
+        self.folder = os.path.join(options.logs, str(options.seed))
+        os.makedirs(self.folder, exist_ok=True)
+        self.checker = Checker()
+        self.store = Store()
+        self.targets = [Target(f"t{i}", self.store, self.checker, options.seed * 100 + i) for i in range(4)]
+        self.proxies = []
+        self.relays = []
+        self.version = 1
+        self.weights = 1
+        self.end = 0.0
+        self.requests = 0
+
+    async def prepare(self):
+        await self.store.start()
+        self.store_proxy = Proxy(self.store.port)
+        await self.store_proxy.start()
+        for target in self.targets:
+            await target.start()
+            proxy = Proxy(target.port)
+            await proxy.start()
+            target.address = f"127.0.0.1:{proxy.port}"
+            self.proxies.append(proxy)
+            target.begin()
+        self.store.put("op/config", configuration(self.version))
+        for number in range(self.options.relays):
+            relay = Relay(number, self.options.relay, self.store_proxy.port, self.folder)
+            await relay.start()
+            self.relays.append(relay)
+        await asyncio.sleep(0.5)
+
+    async def call(self, path):
+        self.requests += 1
+        attempt = f"a{self.options.seed}x{self.requests}"
+        body = self.random.randbytes(self.random.randrange(0, 3000))
+        relay = self.random.choice(self.relays)
+        prompt = ""
+        if path.startswith(("/stream/", "/resume/")):
+            prompt = "X-Model: m\r\nX-Token-Counts: 100,20\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
+        head = (f"POST {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 1500\r\n{prompt}"
+                f"Authorization: Bearer key\r\nContent-Length: {len(body)}\r\n\r\n")
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", relay.callers)
+        except OSError:
+            return  # The relay is down; nothing was asked.
+        try:
+            writer.write(head.encode() + body)
+            outcome = await asyncio.wait_for(read_answer(reader), 8)
+            self.checker.answered(attempt, path, body, *outcome)
+        except (asyncio.TimeoutError, ConnectionError):
+            self.checker.failed += 1
+        finally:
+            writer.close()
+
+    async def caller(self):
+        while time.monotonic() < self.end:
+            await self.call(f"/{self.random.choice(list(ROUTES))}/x")
+            await asyncio.sleep(self.random.uniform(0, 0.02))
+
+    # Faults; each ends what it began.
+
+    async def fault_kill(self):
+        relay = self.random.choice(self.relays)
+        async with relay.replacing:
+            relay.send(signal.SIGKILL)
+            await relay.ended()
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+            await relay.start()
+
+    async def fault_stop(self):
+        relay = self.random.choice(self.relays)
+        async with relay.replacing:
+            relay.send(signal.SIGTERM)
+            code = await relay.ended()
+            if code != 0:
+                self.checker.broken("Fault", f"relay-{relay.number} ended with {code} after SIGTERM")
+            await relay.start()
+
+    async def fault_pause(self):
+        relay = self.random.choice(self.relays)
+        self.checker.trouble_at = time.monotonic() + 3600
+        relay.send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 2.5))
+        relay.send(signal.SIGCONT)
+        self.trouble_ended()
+
+    async def fault_link(self):
+        proxy = self.random.choice(self.proxies)
+        proxy.mode = self.random.choice(["refuse", "silent", "deaf", "slow"])
+        await asyncio.sleep(self.random.uniform(0.2, 2))
+        proxy.mode = "pass"
+        if self.random.random() < 0.5:
+            proxy.reset_all()
+
+    async def fault_store(self):
+        self.checker.trouble_at = time.monotonic() + 3600
+        self.store.mode = self.random.choice(["down", "silent", "slow", "lost"])
+        await asyncio.sleep(self.random.uniform(0.2, 2.5))
+        self.store.mode = "pass"
+        self.trouble_ended()
+
+    async def fault_store_cut(self):
+        self.checker.trouble_at = time.monotonic() + 3600
+        self.store_proxy.mode = self.random.choice(["refuse", "silent", "deaf"])
+        await asyncio.sleep(self.random.uniform(0.2, 3))
+        self.store_proxy.mode = "pass"
+        self.store_proxy.reset_all()
+        self.trouble_ended()
+
+    def trouble_ended(self):
+        self.checker.trouble_at = time.monotonic() + 1  # Until the back-off of the relays has ended.
+
+    async def fault_history(self):
+        self.store.put("op/config", self.next_configuration())
+        self.store.forget_history()
+
+    async def fault_target(self):
+        target = self.random.choice(self.targets)
+        if not target.up:
+            return
+        target.crash()
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        target.begin()
+
+    async def fault_leave(self):
+        target = self.random.choice(self.targets)
+        if not target.up or target.draining or self.store.mode != "pass" or self.store_proxy.mode != "pass":
+            return
+        target.draining = True
+        target.register()
+        self.checker.draining_since[target.id()] = time.monotonic()
+        await asyncio.sleep(2.5)
+        if target.draining and target.up:
+            target.crash()
+            target.begin()
+
+    async def fault_spoil(self):
+        target = self.random.choice(self.targets)
+        target.spoil = 0.3
+        await asyncio.sleep(self.random.uniform(0.5, 2))
+        target.spoil = 0.0
+
+    async def fault_weights(self):
+        self.weights += 1
+        self.store.put("op/version/m", json.dumps({"Model": "m", "Version": self.weights}).encode())
+
+    async def fault_config(self):
+        self.store.put("op/config", self.next_configuration())
+
+    def next_configuration(self):
+        self.version += self.random.randrange(1, 3)
+        return configuration(self.version)
+
+    async def disturb(self):
+        kinds = [getattr(self, name) for name in dir(self) if name.startswith("fault_")]
+        while time.monotonic() < self.end - 3:
+            await self.random.choice(kinds)()
+            await asyncio.sleep(self.random.uniform(0, 0.6))
+
+    async def run(self):
+        await self.prepare()
+        self.end = time.monotonic() + self.options.seconds
+        try:
+            workers = [self.caller() for _ in range(self.options.callers)]
+            await asyncio.gather(*workers, *(self.disturb() for _ in range(2)))
+            await self.settle()
+        finally:
+            for relay in self.relays:
+                relay.send(signal.SIGCONT)
+                relay.send(signal.SIGKILL)
+                await relay.ended()
+
+    async def settle(self):
+        """Without faults, everything is served again and the weights are everywhere."""
+        self.store.mode = self.store_proxy.mode = "pass"
+        for proxy in self.proxies:
+            proxy.mode = "pass"
+        await asyncio.sleep(6)
+        before = self.checker.served
+        for _ in range(20):
+            await self.call("/safe/x")
+        if self.checker.served - before < 15:
+            self.checker.broken("RECOVER", f"{self.checker.served - before} of 20 requests served after the faults")
+        self.checker.run_after_refusal()
+        old = [t.id() for t in self.targets if t.version != self.weights]
+        if len(old) > 1:
+            self.checker.broken("VERSION", f"{old} still have old weights")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--relay", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--relays", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--logs", default="build/soak")
+    options = parser.parse_args()
+    soak = Soak(options)
+    asyncio.run(soak.run())
+    checker = soak.checker
+    print(f"soak seed={options.seed} requests={soak.requests} served={checker.served} refused={checker.refused} "
+          f"failed={checker.failed} broken={len(checker.violations)}")
+    for line in checker.violations[:10]:
+        print("  " + line)
+    return 1 if checker.violations or checker.served == 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,285 @@
+"""Stand-ins of the users' platform for the soak: the store and the model servers."""
+
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+
+from wire import answer, read_request, serve
+
+
+class Store:
+    """The platform's store: keys with revisions, leases, watches and a fault mode."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.history = []  # (revision, key, deleted)
+        self.forgotten = 0  # Revisions up to this one are gone from the history.
+        self.leases = {}
+        self.next_lease = 100
+        self.mode = "pass"  # pass, down (503), silent, slow, lost (writes are done and not answered)
+        self.changed = asyncio.Event()
+        self.port = 0
+        self.server = None
+
+    async def start(self):
+        self.server, self.port = await serve(self.handle)
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        old = self.items.get(key)
+        self.items[key] = {"Key": key, "Value": base64.b64encode(value).decode(), "Rev": self.revision,
+                           "Created": old["Created"] if old else self.revision, "Lease": lease}
+        self.note(key, False)
+        return self.revision
+
+    def delete(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.note(key, True)
+
+    def note(self, key, deleted):
+        self.history.append((self.revision, key, deleted))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget_history(self):
+        self.forgotten = self.revision
+        self.history = []
+
+    def end_leases(self):
+        now = time.monotonic()
+        for lease, (ttl, end) in list(self.leases.items()):
+            if end < now:
+                self.end_lease(lease)
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item["Lease"] == lease]:
+            self.delete(key)
+
+    async def handle(self, reader, writer):
+        while (request := await read_request(reader)) is not None:
+            self.end_leases()
+            if self.mode == "silent":
+                await asyncio.sleep(3)
+                return
+            if self.mode == "down":
+                writer.write(answer(503))
+                continue
+            if self.mode == "slow":
+                await asyncio.sleep(0.25)
+            path, _, query = request.target.partition("?")
+            arguments = dict(part.partition("=")[::2] for part in query.split("&") if part)
+            status, body = await self.answer_call(request, path, arguments)
+            if self.mode == "lost" and request.method != "GET":
+                return
+            writer.write(answer(status, (), json.dumps(body).encode()))
+            await writer.drain()
+
+    async def answer_call(self, request, path, arguments):
+        prefix = arguments.get("Prefix", "")
+        if path == "/-/kv-key":
+            item = self.items.get(arguments["Key"].replace("%2F", "/"))
+            return (200, dict(item, At=self.revision)) if item else (404, {})
+        if path == "/-/kv-range":
+            found = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+            return 200, {"items": found, "Truncated": False, "At": self.revision}
+        if path == "/-/kv-watch":
+            return await self.watch(prefix, int(arguments["after"]), int(arguments["WaitMs"]) / 1000)
+        if path == "/-/kv-txn":
+            return self.transact(json.loads(request.body))
+        if path == "/-/kv-lease":
+            self.next_lease += 1
+            ttl = json.loads(request.body)["TtlMs"]
+            self.leases[self.next_lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"Lease": self.next_lease, "TtlMs": ttl}
+        lease = int(path.rsplit("/", 1)[1])
+        if path.startswith("/-/kv-keep/"):
+            if lease not in self.leases:
+                return 404, {}
+            ttl = self.leases[lease][0]
+            self.leases[lease] = (ttl, time.monotonic() + ttl / 1000)
+            return 200, {"TtlMs": ttl}
+        self.end_lease(lease)
+        return 200, {}
+
+    async def watch(self, prefix, after, patience):
+        end = time.monotonic() + patience
+        while True:
+            if after < self.forgotten:
+                return 410, {}
+            events = []
+            for revision, key, deleted in self.history:
+                if revision > after and key.startswith(prefix):
+                    if deleted:
+                        events.append({"Key": key, "Rev": revision, "Deleted": True})
+                    elif key in self.items and self.items[key]["Rev"] == revision:
+                        events.append(self.items[key])
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"Events": events, "At": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass  # The patience of the watch has ended; an empty answer follows.
+
+    def transact(self, call):
+        for row in call.get("Expected", []):
+            item = self.items.get(row["Key"])
+            if (item["Rev"] if item else 0) != row["Rev"]:
+                return 412, {"items": [item] if item else []}
+        for row in call.get("Puts", []):
+            lease = row.get("Lease", 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            self.put(row["Key"], base64.b64decode(row["Value"]), lease)
+        for key in call.get("Remove", []):
+            self.delete(key)
+        return 200, {"Rev": self.revision}
+
+
+class Target:
+    """A model server that also answers plain calls; it tells the checker what it runs."""
+
+    def __init__(self, name, store, checker, seed):
+        self.name = name
+        self.store = store
+        self.checker = checker
+        self.random = random.Random(seed)
+        self.start_count = 0
+        self.up = False
+        self.spoil = 0.0  # Share of answers that are spoilt.
+        self.version = 1
+        self.port = 0
+        self.server = None
+        self.address = ""
+        self.writers = set()
+        self.accepted = 0
+        self.highest_token = 0
+        self.loading = False
+        self.draining = False
+
+    async def start(self):
+        self.server, self.port = await serve(self.handle)
+
+    def id(self):
+        return f"{self.name}-{self.start_count}"
+
+    def begin(self):
+        self.start_count += 1
+        self.up = True
+        self.draining = False
+        self.accepted = self.highest_token = 0
+        self.register()
+
+    def register(self):
+        entry = {"Service": "svc", "Address": self.address, "Zone": "z", "Version": "v", "Slots": 16,
+                 "State": "draining" if self.draining else "ready", "ColdRemainingMs": 0, "Seq": 1,
+                 "born": self.start_count, "Models": [{"Name": "m", "Version": self.version, "Adapters": []}]}
+        self.store.put(f"servers/{self.id()}", json.dumps(entry).encode())
+
+    def crash(self):
+        self.up = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.store.delete(f"servers/{self.id()}")
+
+    async def handle(self, reader, writer):
+        if not self.up:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                if not await self.answer_request(request, writer):
+                    return
+                await writer.drain()
+        finally:
+            self.writers.discard(writer)
+
+    async def answer_request(self, request, writer):
+        identity = self.id()
+        if request.target == "/-/report":
+            models = [{"Name": "m", "Version": self.version, "Adapters": []}]
+            writer.write(answer(200, (), json.dumps({"Models": models, "Busy": self.loading, "Seq": self.accepted}).encode()))
+            return True
+        expected = request.header("x-expect-instance")
+        if expected and expected != identity:
+            writer.write(answer(421, [("X-Attempt-Id", request.header("x-attempt-id"))]))
+            return True
+        if request.target == "/-/order":
+            writer.write(answer(self.take_order(json.loads(request.body))))
+            return True
+        return await self.run(request, writer)
+
+    def take_order(self, order):
+        self.checker.ordered(self.id(), order["Holder"], order["Fence"])
+        if order["Fence"] < self.highest_token:
+            return 412
+        self.highest_token = order["Fence"]
+        if self.loading or order["Expected"] != self.accepted:
+            return 409
+        if self.version == order["Version"]:
+            return 200
+        self.accepted += 1
+        self.loading = True
+        asyncio.get_running_loop().call_later(0.2, self.loaded, order["Version"], self.start_count)
+        return 202
+
+    def loaded(self, version, start):
+        self.loading = False
+        if start == self.start_count and self.up:
+            self.version = version
+            self.register()
+
+    async def run(self, request, writer):
+        attempt = request.header("x-attempt-id")
+        fields = [("X-Attempt-Id", attempt)]
+        wanted = request.header("x-expect-version")
+        if wanted and int(wanted) != self.version:
+            writer.write(answer(421, fields))
+            return True
+        if self.loading or self.random.random() < 0.02:
+            writer.write(answer(503, fields + [("X-Not-Run", "1")]))
+            return True
+        self.checker.ran(attempt, request, self)
+        fields.append(("X-Server-Seal", "seal"))
+        if request.target.startswith(("/stream/", "/resume/")):
+            return await self.stream(request, attempt, fields, writer)
+        await asyncio.sleep(self.random.uniform(0.002, 0.03))
+        body = hashlib.sha256(attempt.encode() + request.body).hexdigest().encode()
+        whole = answer(200, fields, body)
+        if self.random.random() < self.spoil:
+            return self.spoil_answer(whole, writer)
+        writer.write(whole)
+        return True
+
+    def spoil_answer(self, whole, writer):
+        kind = self.random.randrange(4)
+        if kind == 0:
+            writer.write(whole[:-7])
+        elif kind == 1:
+            writer.write(b"garbage\r\n\r\n")
+        elif kind == 2:
+            writer.write(whole + whole)
+            return True
+        return False
+
+    async def stream(self, request, attempt, fields, writer):
+        head = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in fields] + ["Transfer-Encoding: chunked"]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        first = int(request.header("last-event-id", "0") or 0) + 1
+        for number in range(first, 6):
+            if self.random.random() < self.spoil:
+                writer.transport.abort()
+                return False
+            event = f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,132 @@
+"""HTTP/1.1 on asyncio streams, as far as the stand-ins of the soak need it."""
+
+import asyncio
+
+
+class Request:
+    """One parsed request."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+
+async def read_head(reader):
+    """Returns the start line and the header fields (lower-case names), or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_request(reader):
+    head = await read_head(reader)
+    if head is None:
+        return None
+    start, headers = head
+    method, target, _ = start.split(" ", 2)
+    length = int(headers.get("content-length", "0"))
+    body = await reader.readexactly(length) if length else b""
+    return Request(method, target, headers, body)
+
+
+def answer(status, headers=(), body=b""):
+    """Returns the bytes of a whole answer."""
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+async def read_answer(reader):
+    """Returns (status, headers, body, complete); complete is False if the connection ended too early."""
+    head = await read_head(reader)
+    if head is None:
+        return 0, {}, b"", False
+    start, headers = head
+    status = int(start.split(" ")[1])
+    body = b""
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+                piece = await reader.readexactly(size + 2)
+                if size == 0:
+                    return status, headers, body, True
+                body += piece[:-2]
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return status, headers, body, True
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return status, headers, body, False
+
+
+async def serve(handler, port=0):
+    """Serves `handler(reader, writer)`; a connection that breaks ends its handler without noise."""
+
+    async def guarded(reader, writer):
+        try:
+            await handler(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass  # The peer broke off; what was promised is checked elsewhere.
+        except asyncio.CancelledError:
+            pass  # The soak ends while connections are open.
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(guarded, "127.0.0.1", port, limit=1 << 20)
+    return server, server.sockets[0].getsockname()[1]
+
+
+class Proxy:
+    """Passes connections on to `target_port` and misbehaves while told to."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.mode = "pass"  # pass, refuse, silent (nothing passes), deaf (only towards the target), slow
+        self.connections = set()
+        self.port = 0
+        self.server = None
+
+    async def start(self):
+        self.server, self.port = await serve(self.handle)
+
+    def reset_all(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def handle(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        self.connections |= {writer, far_writer}
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, True), self.pump(far_reader, writer, False))
+        finally:
+            self.connections -= {writer, far_writer}
+            far_writer.close()
+
+    async def pump(self, reader, writer, towards_target):
+        while True:
+            data = await reader.read(65536)
+            while self.mode == "silent" or (self.mode == "deaf" and not towards_target):
+                await asyncio.sleep(0.02)
+            if self.mode == "slow":
+                await asyncio.sleep(0.15)
+            if not data:
+                writer.close()
+                return
+            writer.write(data)
+            await writer.drain()
