--- a/cmake/marigold.cmake
+++ b/cmake/marigold.cmake
@@ -65,9 +65,9 @@
     endforeach()
 endfunction()
 
-# tests/platform/*.cpp is the test program of the adapter in the folder platform of the repository.
+# platform/tests/*.cpp is the test program of the adapter in the folder platform of the repository.
 function(marigold_add_adapter_test)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/platform/*.cpp)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/tests/*.cpp)
     add_executable(platform_adapter_test ${sources} ${CMAKE_CURRENT_SOURCE_DIR}/support/main.cpp)
     target_include_directories(platform_adapter_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
     target_link_libraries(platform_adapter_test PRIVATE marigold_platform_adapter rapidcheck)
