Divide the retry budget by service and process; stay alive at SIGHUP

Cause 1 (read in the diff): each relay used a sixth of the slack whatever their number, so that eleven could use nearly twice of it, and one budget covered all services. Change: retry_budgets, one for each service, 0.75 of share and slack divided by the known relays and one more; a property test plays up to 40 processes. Cause 2 (read in the diff): SIGHUP had its default action and would have ended the process. Change: it is logged; addresses and bounds are taken at a start only.

--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -31,10 +31,7 @@
     , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
     , m_catalog(time, {})
     , m_waiting(loop, time, {})
-    , m_retryBudget({ .percent = static_cast<int>(m_options.retryShare * 75),
-          .initial = 3,
-          .capacity = std::max(m_options.retrySlack / 6, 3),
-          .keptForRetries = 0 })
+    , m_retryBudgets({ .share = m_options.retryShare, .slack = m_options.retrySlack })
     , m_services { .loop = loop,
         .clock = time,
         .random = m_random,
@@ -46,7 +43,7 @@
         .context = m_catalog,
         .waiting = m_waiting,
         .metrics = m_metrics,
-        .retryBudget = m_retryBudget,
+        .retryBudgets = m_retryBudgets,
         .startedAt = time.now(),
         .config = nullptr }
     , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
@@ -183,6 +180,7 @@
 void relay_server::applyProcesses()
 {
     m_targets.setProcesses(static_cast<int>(m_processes.size()));
+    m_retryBudgets.setProcesses(static_cast<int>(m_processes.size()));
     m_loads.setPeers(m_processes);
 }
 
@@ -268,6 +266,11 @@
         m_lease.seen({});
 }
 
+void relay_server::settingsChanged()
+{
+    m_log.write(events::processState, { { "state", "settings_changed_until_restart" } });
+}
+
 void relay_server::drain()
 {
     if (std::exchange(m_draining, true))
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -63,6 +63,9 @@
 
     base::result<void> start();
 
+    /// Notes that the settings file has changed. Addresses and bounds are taken at a start only.
+    void settingsChanged();
+
     /// Stops taking callers, lets running requests end, then stops the loop.
     void drain();
 
@@ -96,7 +99,7 @@
     context_catalog m_catalog;
     waiting_room m_waiting;
     relay_metrics m_metrics;
-    routing::retry_budget m_retryBudget;
+    retry_budgets m_retryBudgets;
     relay_services m_services;
     state_follower m_follower;
     presence m_presence;
--- a/src/libs/relay/relay_services.h
+++ b/src/libs/relay/relay_services.h
@@ -3,6 +3,7 @@
 #include "context_catalog.h"
 #include "relay_config.h"
 #include "relay_metrics.h"
+#include "retry_budgets.h"
 #include "target_chooser.h"
 #include "target_pool.h"
 #include "target_registry.h"
@@ -30,7 +31,7 @@
     context_catalog& context;
     waiting_room& waiting;
     relay_metrics& metrics;
-    routing::retry_budget& retryBudget;
+    retry_budgets& retryBudgets;
     base::time_point startedAt {}; ///< Of the process.
     std::shared_ptr<const relay_config> config; ///< Null until the first one is known.
 };
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -4,7 +4,6 @@
 #include "events.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
@@ -35,11 +34,6 @@
 /// Time after which a process that knows no configuration or no target may know one.
 constexpr base::duration unavailableRetryAfter = std::chrono::milliseconds(700);
 
-double seconds(base::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 relay_session::relay_session(relay_services& services, caller_connection& caller, message_head&& head,
@@ -78,7 +72,7 @@
         m_limitTimer = 0;
         limitReached();
     });
-    m_services.retryBudget.addRequest();
+    m_services.retryBudgets.of(m_service->name).addRequest();
     dispatch();
 }
 
@@ -407,7 +401,7 @@
     m_collected.clear();
     m_events.dropPartial();
     m_verdict = base::combine(m_verdict, failure.verdict);
-    const bool again = mayTryAgain(failure.verdict) && m_services.retryBudget.tryRetry();
+    const bool again = mayTryAgain(failure.verdict) && m_services.retryBudgets.of(m_service->name).tryRetry();
     m_services.log.write(events::attemptFailed,
         { { "request", m_request.attemptId }, { "target", target },
             { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -33,20 +33,12 @@
     int sharedTokens() const;
 };
 
-/// Load as a target states it with an answer.
-struct stated_load {
-    int running = 0;
-    int queued = 0;
-    int slots = 0;
-};
-
 /// What an answer says of its target and its run.
 struct target_answer {
     std::string attemptId = {};
     bool notRun = false; ///< The target states that it has not run the request and will not.
     bool authentic = false; ///< Marked by the target as its own; a success without the mark is none.
     bool encoded = false; ///< Some intermediary has changed the body.
-    std::optional<stated_load> load = {};
     std::optional<int> weightVersion = {};
 };
 
--- a/src/libs/routing/retry_budget.cpp
+++ b/src/libs/routing/retry_budget.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+void retry_budget::setCapacity(int capacity)
+{
+    m_options.capacity = capacity;
+    m_balance = std::min(m_balance, unit * capacity);
+}
+
 void retry_budget::addRequest()
 {
     m_balance = std::min(m_balance + m_options.percent, unit * m_options.capacity);
--- a/src/libs/routing/retry_budget.h
+++ b/src/libs/routing/retry_budget.h
@@ -23,6 +23,9 @@
     {
     }
 
+    /// Sets the most retries that can be saved up; those above it are lost.
+    void setCapacity(int capacity);
+
     /// Records a first attempt.
     void addRequest();
 
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -71,6 +71,7 @@
         optionsOf(settings, random));
     loop.onSignal(SIGTERM, [&] { server.drain(); });
     loop.onSignal(SIGINT, [&] { server.drain(); });
+    loop.onSignal(SIGHUP, [&] { server.settingsChanged(); });
     if (const auto started = server.start(); !started) {
         fmt::print(stderr, "{}\n", started.error().message);
         return 1;
@@ -85,6 +86,7 @@
 {
     // A stop before the loop handles signals has nothing to finish.
     std::signal(SIGTERM, [](int) { std::_Exit(0); });
+    std::signal(SIGHUP, SIG_IGN); // The settings are read after this.
     relay::relay_settings settings;
     settings::settings_reader reader;
     settings.registerSettings(reader);
--- a/tests/libs/relay/small_parts_test.cpp
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -3,6 +3,7 @@
 #include <relay/intake_limiter.h>
 #include <relay/load_digest.h>
 #include <relay/relay_config.h>
+#include <relay/retry_budgets.h>
 
 #include <doctest/doctest.h>
 
@@ -83,6 +84,28 @@
     }));
 }
 
+TEST_CASE("all processes together stay within the retry budget of a service")
+{
+    // Guards against second sends that multiply with the number of processes: BUDGET of the users' rules.
+    CHECK(rc::check("budget", [] {
+        constexpr double share = 0.2;
+        constexpr int slack = 54;
+        const int processes = *rc::gen::inRange(1, 40);
+        const int requests = *rc::gen::inRange(0, 4000);
+        int sentAgain = 0;
+        for (int process = 0; process < processes; ++process) {
+            retry_budgets budgets({ .share = share, .slack = slack });
+            budgets.setProcesses(processes);
+            for (int i = 0; i < requests / processes; ++i) {
+                budgets.of("svc").addRequest();
+                while (budgets.of("svc").tryRetry())
+                    ++sentAgain;
+            }
+        }
+        RC_ASSERT(sentAgain <= share * requests + slack);
+    }));
+}
+
 TEST_CASE("scopes and digests survive their encoding")
 {
     // Guards against context of other weights or of an isolated team that looks like one's own.
