--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "caller_connection.h"
 
+#include "http_status.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -101,17 +103,17 @@
         switch (progress) {
         case message_parser::progress::NeedMore:
             if (m_tooLarge)
-                return refuse(413);
+                return refuse(http_status::contentTooLarge);
             continue;
         case message_parser::progress::Malformed:
-            return refuse(400);
+            return refuse(http_status::badRequest);
         case message_parser::progress::HeaderTooLarge:
-            return refuse(431);
+            return refuse(http_status::headersTooLarge);
         case message_parser::progress::Complete:
             break;
         }
         if (m_tooLarge)
-            return refuse(413);
+            return refuse(http_status::contentTooLarge);
         stopTimer();
         m_state = state::Handling;
         m_keepAlive = m_head.keepAlive;
@@ -232,7 +234,7 @@
     m_timer = m_loop.runAfter(limit, [this] {
         m_timer = 0;
         if (m_state == state::Reading)
-            refuse(408);
+            refuse(http_status::requestTimeout);
         else
             close();
     });
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -1,6 +1,7 @@
 #include "relay_server.h"
 
 #include "events.h"
+#include "http_status.h"
 
 #include <algorithm>
 #include <csignal>
@@ -91,10 +92,9 @@
 void relay_server::requestArrived(caller_connection& caller, message_head&& head, std::string&& body)
 {
     if (m_noticed) {
-        constexpr int unavailable = 503;
         constexpr base::duration atOnce = std::chrono::milliseconds(50);
         const auto request = m_ports.dialect.readRequest(head);
-        caller.answer(unavailable,
+        caller.answer(http_status::serviceUnavailable,
             m_ports.dialect.ownAnswerFields(request ? request->attemptId : std::string(), atOnce), {});
         return;
     }
@@ -113,9 +113,8 @@
 
 void relay_server::readinessAsked(caller_connection& caller)
 {
-    constexpr int ready = 200;
-    constexpr int notReady = 503;
-    caller.answer(!m_draining && m_services.config ? ready : notReady, {}, {});
+    caller.answer(
+        !m_draining && m_services.config ? http_status::ok : http_status::serviceUnavailable, {}, {});
 }
 
 void relay_server::metricsAsked(caller_connection& caller)
@@ -129,8 +128,8 @@
         .holdsOrderLease = m_lease.mayOrder(),
         .storeReachable = m_follower.isReachable(),
         .loopLag = std::exchange(m_loopLag, base::duration::zero()) };
-    constexpr int ok = 200;
-    caller.answer(ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.exposition(gauges));
+    caller.answer(
+        http_status::ok, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.exposition(gauges));
 }
 
 void relay_server::houseKeeping()
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -2,6 +2,7 @@
 
 #include "context_scope.h"
 #include "events.h"
+#include "http_status.h"
 
 #include <algorithm>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// Answers up to this size are read whole before the caller gets them.
-constexpr std::size_t collectLimit = 64 << 10;
-
 /// Share of the route's latency goal for which a request waits for a busy store; reading the context again
 /// then costs the engines more than the wait costs the caller.
 constexpr double fetchPatience = 0.35;
@@ -22,15 +20,6 @@
 /// served before its caller gives up.
 constexpr double placePatience = 1.5;
 
-/// Below this, an attempt cannot be answered in time.
-constexpr base::duration shortestAttempt = std::chrono::milliseconds(20);
-
-/// Sends of one request, those included that a target refused without running them.
-constexpr int maxSends = 4;
-
-/// A busy target has room again within this time, and the caller's retries must not come all at once.
-constexpr base::duration busyRetryAfter = std::chrono::milliseconds(400);
-
 /// Time after which a process that knows no configuration or no target may know one.
 constexpr base::duration unavailableRetryAfter = std::chrono::milliseconds(700);
 
@@ -58,10 +47,10 @@
 {
     auto request = m_services.dialect.readRequest(m_head);
     if (!request)
-        return answerOwn(400, {}, request.error().message);
+        return answerOwn(http_status::badRequest, {}, request.error().message);
     m_request = std::move(*request);
     if (!m_config)
-        return answerOwn(503, unconfiguredRetryAfter(), "no_configuration");
+        return answerOwn(http_status::serviceUnavailable, unconfiguredRetryAfter(), "no_configuration");
     if (!readRoute())
         return;
     const base::duration limit = std::min(m_route->timeout, m_request.timeLimit.value_or(m_route->timeout));
@@ -88,13 +77,13 @@
 {
     m_route = m_config->findRoute(m_request.host, m_head.target);
     if (!m_route) {
-        answerOwn(404, {}, "no_route");
+        answerOwn(http_status::notFound, {}, "no_route");
         return false;
     }
     if (m_config->hasTeams() && !m_route->anonymous) {
         m_team = m_config->findTeam(m_request.key);
         if (!m_team) {
-            answerOwn(401, {}, "unknown_key");
+            answerOwn(http_status::unauthorized, {}, "unknown_key");
             return false;
         }
     }
@@ -109,7 +98,7 @@
             break;
     }
     if (!m_service) {
-        answerOwn(503, unavailableRetryAfter, "no_service");
+        answerOwn(http_status::serviceUnavailable, unavailableRetryAfter, "no_service");
         return false;
     }
     return true;
@@ -187,9 +176,10 @@
 void relay_session::noPlace()
 {
     if (m_verdict != base::verdict::NotRun)
-        return answerOwn(502, {}, "no_further_target");
+        return answerOwn(http_status::badGateway, {}, "no_further_target");
     const bool busy = m_lastChoice != placement_outcome::NoTarget;
-    answerOwn(503, busy ? busyRetryAfter : unavailableRetryAfter, busy ? "targets_busy" : "no_target");
+    answerOwn(http_status::serviceUnavailable, busy ? busyRetryAfter : unavailableRetryAfter,
+        busy ? "targets_busy" : "no_target");
 }
 
 std::string relay_session::requestText(const target_record& target) const
@@ -244,186 +234,6 @@
     return true;
 }
 
-bool relay_session::answerBegins(const message_head& head)
-{
-    const target_answer answer = m_services.dialect.readAnswer(head);
-    if (answer.attemptId != m_request.attemptId)
-        return false;
-    m_services.targets.heard(*m_target);
-    m_answerHead = head;
-    if (answer.weightVersion)
-        m_services.targets.versionSeen(*m_target, m_request.model, *answer.weightVersion);
-    constexpr int misdirected = 421;
-    if (answer.notRun || head.status == misdirected) {
-        m_answer = answer_state::Refused;
-        // Most often the target has changed its weights since it was last heard of.
-        if (head.status == misdirected && !answer.weightVersion)
-            m_services.targets.versionSeen(*m_target, m_request.model,
-                m_services.targets.newestVersion(m_service->name, m_request.model));
-        return true;
-    }
-    constexpr int firstFailure = 400;
-    constexpr int firstSuccess = 200;
-    constexpr int afterSuccess = 300;
-    const bool success = head.status >= firstSuccess && head.status < afterSuccess;
-    if (answer.encoded || (success && !answer.authentic)) {
-        m_answer = answer_state::Failed;
-        return true;
-    }
-    constexpr int serverFailure = 500;
-    if (head.status >= serverFailure && mayTryAgain(base::verdict::Ran)) {
-        m_answer = answer_state::Failed;
-        return true;
-    }
-    const bool stream = m_route->kind == request_kind::Stream && head.status < firstFailure;
-    m_answer = answer_state::Collecting;
-    if (stream)
-        beginForwarding();
-    return true;
-}
-
-void relay_session::beginForwarding()
-{
-    m_answer = answer_state::Forwarding;
-    if (!m_callerHasHead) {
-        m_callerHasHead = true;
-        m_caller->beginAnswer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead));
-    }
-}
-
-void relay_session::answerPiece(std::string_view piece)
-{
-    m_services.targets.heard(*m_target);
-    if (!m_firstTokenSeen) {
-        m_firstTokenSeen = true;
-        if (std::exchange(m_transfersOpen, false))
-            m_services.context.ended(m_context, now() - m_sentAt - m_expectedFirst);
-        m_services.targets.prefillEnded(*m_target, std::exchange(m_work.prefillTokens, 0),
-            m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
-        m_services.waiting.pumpSoon();
-        if (!m_firstByteAfter)
-            m_firstByteAfter = elapsed();
-    }
-    switch (m_answer) {
-    case answer_state::None:
-    case answer_state::Refused:
-    case answer_state::Failed:
-        return;
-    case answer_state::Collecting:
-        m_collected += piece;
-        if (m_collected.size() > collectLimit) {
-            beginForwarding();
-            m_caller->writePiece(std::exchange(m_collected, {}));
-        }
-        return;
-    case answer_state::Forwarding:
-        if (m_route->resumable)
-            m_caller->writePiece(m_events.feed(piece));
-        else
-            m_caller->writePiece(piece);
-        if (m_caller && m_connection && m_caller->pendingBytes() > caller_connection::pauseAbove)
-            m_connection->setPaused(true);
-        return;
-    }
-}
-
-void relay_session::callerDrained()
-{
-    if (m_connection)
-        m_connection->setPaused(false);
-}
-
-void relay_session::attemptEnded()
-{
-    if (!m_target)
-        return;
-    if (std::exchange(m_transfersOpen, false))
-        m_services.context.ended(m_context, std::nullopt);
-    m_services.targets.ended(*m_target, m_work, now() - m_sentAt);
-    m_services.waiting.pumpSoon();
-    m_target = nullptr;
-    m_connection = nullptr;
-}
-
-void relay_session::checkSilence()
-{
-    if (!m_connection || m_callerHasHead || !m_services.targets.isSilent(*m_target)
-        || !mayTryAgain(base::verdict::MayHaveRun))
-        return;
-    m_connection->cancel();
-    m_services.targets.observe(*m_target, true);
-    attemptFailed({ .verdict = base::verdict::MayHaveRun,
-        .reason = base::error_reason::Unavailable,
-        .message = "target is silent" });
-}
-
-void relay_session::answerEnds()
-{
-    const std::shared_ptr<target_record> target = m_target;
-    const answer_state answer = m_answer;
-    constexpr int serverFailure = 500;
-    if (answer == answer_state::Refused) {
-        --m_possibleRuns;
-        return attemptFailed({ .verdict = base::verdict::NotRun,
-            .reason = base::error_reason::Overloaded,
-            .message = fmt::format("refused with {}", m_answerHead.status) });
-    }
-    if (answer == answer_state::Failed) {
-        m_services.targets.observe(*target, true);
-        return attemptFailed({ .verdict = base::verdict::Ran,
-            .reason = base::error_reason::Unavailable,
-            .message = fmt::format("failed with {}", m_answerHead.status) });
-    }
-    m_services.targets.observe(*target, m_answerHead.status >= serverFailure);
-    attemptEnded();
-    m_verdict = base::verdict::Ran;
-    if (answer == answer_state::Collecting) {
-        m_caller->answer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
-    } else {
-        m_caller->writePiece(m_events.takePartial());
-        m_caller->endAnswer();
-    }
-    finish(relay_outcome::Answered, m_answerHead.status, {});
-}
-
-void relay_session::answerFails(const base::error& failure)
-{
-    m_services.targets.observe(*m_target, true);
-    if (failure.verdict == base::verdict::NotRun)
-        --m_possibleRuns;
-    attemptFailed(failure);
-}
-
-void relay_session::attemptFailed(const base::error& failure)
-{
-    const std::string target = m_target->registration.id;
-    attemptEnded();
-    m_collected.clear();
-    m_events.dropPartial();
-    m_verdict = base::combine(m_verdict, failure.verdict);
-    const bool again = mayTryAgain(failure.verdict) && m_services.retryBudgets.of(m_service->name).tryRetry();
-    m_services.log.write(events::attemptFailed,
-        { { "request", m_request.attemptId }, { "target", target },
-            { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
-            { "retry", again ? "yes" : "no" }, { "age_ms", std::to_string(elapsed().count() / 1000) } });
-    if (again)
-        return dispatch();
-    if (m_verdict == base::verdict::NotRun)
-        return answerOwn(503, busyRetryAfter, failure.message);
-    answerOwn(502, {}, failure.message);
-}
-
-bool relay_session::mayTryAgain(base::verdict verdict) const
-{
-    if (m_sends >= maxSends || now() + shortestAttempt >= m_answerBy)
-        return false;
-    if (verdict == base::verdict::NotRun)
-        return true;
-    if (!mayRepeat() || m_possibleRuns >= m_route->maxAttempts)
-        return false;
-    return !m_callerHasHead || (m_route->resumable && !m_events.lastId().empty());
-}
-
 void relay_session::limitReached()
 {
     if (m_connection) {
@@ -432,8 +242,8 @@
         attemptEnded();
     }
     if (m_verdict == base::verdict::NotRun)
-        return answerOwn(503, {}, "time_limit");
-    answerOwn(504, {}, "time_limit");
+        return answerOwn(http_status::serviceUnavailable, {}, "time_limit");
+    answerOwn(http_status::gatewayTimeout, {}, "time_limit");
 }
 
 void relay_session::callerGone()
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -77,6 +77,9 @@
     base::duration elapsed() const { return now() - m_arrivedAt; }
     bool mayRepeat() const { return m_route->mayRepeat(); }
 
+    /// A busy target has room again within this time, and the caller's retries must not come all at once.
+    static constexpr base::duration busyRetryAfter = std::chrono::milliseconds(400);
+
     relay_services& m_services;
     std::shared_ptr<const relay_config> m_config;
     caller_connection* m_caller;
--- /dev/null
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -0,0 +1,196 @@
+#include "events.h"
+#include "http_status.h"
+#include "relay_session.h"
+
+#include <fmt/format.h>
+
+namespace marigold::relay {
+
+namespace {
+
+/// Answers up to this size are read whole before the caller gets them.
+constexpr std::size_t collectLimit = 64 << 10;
+
+/// Below this, an attempt cannot be answered in time.
+constexpr base::duration shortestAttempt = std::chrono::milliseconds(20);
+
+/// Sends of one request, those included that a target refused without running them.
+constexpr int maxSends = 4;
+
+} // namespace
+
+bool relay_session::answerBegins(const message_head& head)
+{
+    const target_answer answer = m_services.dialect.readAnswer(head);
+    if (answer.attemptId != m_request.attemptId)
+        return false;
+    m_services.targets.heard(*m_target);
+    m_answerHead = head;
+    if (answer.weightVersion)
+        m_services.targets.versionSeen(*m_target, m_request.model, *answer.weightVersion);
+    if (answer.notRun || head.status == http_status::misdirectedRequest) {
+        m_answer = answer_state::Refused;
+        // Most often the target has changed its weights since it was last heard of.
+        if (head.status == http_status::misdirectedRequest && !answer.weightVersion)
+            m_services.targets.versionSeen(*m_target, m_request.model,
+                m_services.targets.newestVersion(m_service->name, m_request.model));
+        return true;
+    }
+    const bool success = head.status >= http_status::ok && head.status < http_status::multipleChoices;
+    if (answer.encoded || (success && !answer.authentic)) {
+        m_answer = answer_state::Failed;
+        return true;
+    }
+    if (head.status >= http_status::serverError && mayTryAgain(base::verdict::Ran)) {
+        m_answer = answer_state::Failed;
+        return true;
+    }
+    const bool stream = m_route->kind == request_kind::Stream && head.status < http_status::badRequest;
+    m_answer = answer_state::Collecting;
+    if (stream)
+        beginForwarding();
+    return true;
+}
+
+void relay_session::beginForwarding()
+{
+    m_answer = answer_state::Forwarding;
+    if (!m_callerHasHead) {
+        m_callerHasHead = true;
+        m_caller->beginAnswer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead));
+    }
+}
+
+void relay_session::answerPiece(std::string_view piece)
+{
+    m_services.targets.heard(*m_target);
+    if (!m_firstTokenSeen) {
+        m_firstTokenSeen = true;
+        if (std::exchange(m_transfersOpen, false))
+            m_services.context.ended(m_context, now() - m_sentAt - m_expectedFirst);
+        m_services.targets.prefillEnded(*m_target, std::exchange(m_work.prefillTokens, 0),
+            m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
+        m_services.waiting.pumpSoon();
+        if (!m_firstByteAfter)
+            m_firstByteAfter = elapsed();
+    }
+    switch (m_answer) {
+    case answer_state::None:
+    case answer_state::Refused:
+    case answer_state::Failed:
+        return;
+    case answer_state::Collecting:
+        m_collected += piece;
+        if (m_collected.size() > collectLimit) {
+            beginForwarding();
+            m_caller->writePiece(std::exchange(m_collected, {}));
+        }
+        return;
+    case answer_state::Forwarding:
+        if (m_route->resumable)
+            m_caller->writePiece(m_events.feed(piece));
+        else
+            m_caller->writePiece(piece);
+        if (m_caller && m_connection && m_caller->pendingBytes() > caller_connection::pauseAbove)
+            m_connection->setPaused(true);
+        return;
+    }
+}
+
+void relay_session::callerDrained()
+{
+    if (m_connection)
+        m_connection->setPaused(false);
+}
+
+void relay_session::attemptEnded()
+{
+    if (!m_target)
+        return;
+    if (std::exchange(m_transfersOpen, false))
+        m_services.context.ended(m_context, std::nullopt);
+    m_services.targets.ended(*m_target, m_work, now() - m_sentAt);
+    m_services.waiting.pumpSoon();
+    m_target = nullptr;
+    m_connection = nullptr;
+}
+
+void relay_session::checkSilence()
+{
+    if (!m_connection || m_callerHasHead || !m_services.targets.isSilent(*m_target)
+        || !mayTryAgain(base::verdict::MayHaveRun))
+        return;
+    m_connection->cancel();
+    m_services.targets.observe(*m_target, true);
+    attemptFailed({ .verdict = base::verdict::MayHaveRun,
+        .reason = base::error_reason::Unavailable,
+        .message = "target is silent" });
+}
+
+void relay_session::answerEnds()
+{
+    const std::shared_ptr<target_record> target = m_target;
+    const answer_state answer = m_answer;
+    if (answer == answer_state::Refused) {
+        --m_possibleRuns;
+        return attemptFailed({ .verdict = base::verdict::NotRun,
+            .reason = base::error_reason::Overloaded,
+            .message = fmt::format("refused with {}", m_answerHead.status) });
+    }
+    if (answer == answer_state::Failed) {
+        m_services.targets.observe(*target, true);
+        return attemptFailed({ .verdict = base::verdict::Ran,
+            .reason = base::error_reason::Unavailable,
+            .message = fmt::format("failed with {}", m_answerHead.status) });
+    }
+    m_services.targets.observe(*target, m_answerHead.status >= http_status::serverError);
+    attemptEnded();
+    m_verdict = base::verdict::Ran;
+    if (answer == answer_state::Collecting) {
+        m_caller->answer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
+    } else {
+        m_caller->writePiece(m_events.takePartial());
+        m_caller->endAnswer();
+    }
+    finish(relay_outcome::Answered, m_answerHead.status, {});
+}
+
+void relay_session::answerFails(const base::error& failure)
+{
+    m_services.targets.observe(*m_target, true);
+    if (failure.verdict == base::verdict::NotRun)
+        --m_possibleRuns;
+    attemptFailed(failure);
+}
+
+void relay_session::attemptFailed(const base::error& failure)
+{
+    const std::string target = m_target->registration.id;
+    attemptEnded();
+    m_collected.clear();
+    m_events.dropPartial();
+    m_verdict = base::combine(m_verdict, failure.verdict);
+    const bool again = mayTryAgain(failure.verdict) && m_services.retryBudgets.of(m_service->name).tryRetry();
+    m_services.log.write(events::attemptFailed,
+        { { "request", m_request.attemptId }, { "target", target },
+            { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
+            { "retry", again ? "yes" : "no" }, { "age_ms", std::to_string(elapsed().count() / 1000) } });
+    if (again)
+        return dispatch();
+    if (m_verdict == base::verdict::NotRun)
+        return answerOwn(http_status::serviceUnavailable, busyRetryAfter, failure.message);
+    answerOwn(http_status::badGateway, {}, failure.message);
+}
+
+bool relay_session::mayTryAgain(base::verdict verdict) const
+{
+    if (m_sends >= maxSends || now() + shortestAttempt >= m_answerBy)
+        return false;
+    if (verdict == base::verdict::NotRun)
+        return true;
+    if (!mayRepeat() || m_possibleRuns >= m_route->maxAttempts)
+        return false;
+    return !m_callerHasHead || (m_route->resumable && !m_events.lastId().empty());
+}
+
+} // namespace marigold::relay
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "target_connection.h"
 
+#include "http_status.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -140,8 +142,7 @@
 {
     if (!m_handler)
         return;
-    constexpr int firstFinalStatus = 200;
-    if (head.status < firstFinalStatus) {
+    if (head.status < http_status::ok) {
         m_skipping = true;
         return;
     }
