--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -35,9 +35,10 @@
         for (const auto& [id, address] : m_peers)
             m_send(address, bytes);
     }
-    const double seconds = static_cast<double>(m_peers.size()) / m_options.maxDatagramsPerSecond;
-    const base::duration pause
-        = std::max(m_options.interval, base::duration(static_cast<std::int64_t>(seconds * 1e6)));
+    const double seconds = static_cast<double>(m_peers.size()) / m_options.manyPeersDatagramsPerSecond;
+    const base::duration pause = m_peers.size() <= m_options.fewPeers
+        ? m_options.interval
+        : base::duration(static_cast<std::int64_t>(seconds * 1e6));
     m_timers.runAfter(pause, [this] { tell(); });
 }
 
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -20,9 +20,11 @@
     struct options {
         std::string process;
         /// Between two digests while there are few peers.
-        base::duration interval = std::chrono::milliseconds(120);
-        /// Datagrams a second that this process sends at most; with more peers each hears of it less often.
-        double maxDatagramsPerSecond = 80;
+        base::duration interval = std::chrono::milliseconds(50);
+        /// With more peers than this, digests are hints of the general load only and are sent less often.
+        std::size_t fewPeers = 12;
+        /// Datagrams a second that this process sends to many peers.
+        double manyPeersDatagramsPerSecond = 80;
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
