--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -18,7 +18,7 @@
 
 /// Multiple of the route's latency goal for which a request waits for a place; later it would hardly be
 /// served before its caller gives up.
-constexpr double placePatience = 1.5;
+constexpr double placePatience = 2.0;
 
 /// Time after which a process that knows no configuration or no target may know one.
 constexpr base::duration unavailableRetryAfter = std::chrono::milliseconds(700);
