Sort waiting requests by one moment; connect without callbacks inside the constructor

Found while reading, changed as well: a connect that fails at once would have called back into a pool that had no connection yet; a connection whose answer ended while reading was paused stayed paused. Change: one time for all comparisons; callbacks after the connect, with a timer of zero for an immediate failure; reading resumes. Test: the order is that of one moment, with a clock that ticks at each reading; red before, green now.

--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -66,15 +66,20 @@
           maxAnswerHeader)
 {
     m_events = bufferevent_socket_new(loop.handle(), -1, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(m_events, readable, nullptr, changed, this);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(m_options.to.port);
     inet_pton(AF_INET, m_options.to.address.c_str(), &address.sin_addr);
-    if (bufferevent_socket_connect(m_events, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+    const bool started
+        = bufferevent_socket_connect(m_events, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    if (started)
         setSilenceTimeout(bufferevent_getfd(m_events), m_options.silenceTimeout);
+    // Set after the attempt, since a failure inside the constructor would reach an owner that has no
+    // connection.
+    bufferevent_setcb(m_events, readable, nullptr, changed, this);
     bufferevent_enable(m_events, EV_READ | EV_WRITE);
-    m_connectTimer = m_loop.runAfter(m_options.connectTimeout, [this] {
+    const base::duration limit = started ? m_options.connectTimeout : base::duration::zero();
+    m_connectTimer = m_loop.runAfter(limit, [this] {
         m_connectTimer = 0;
         fail("no connection in time");
     });
@@ -184,6 +189,7 @@
     answer_handler* handler = std::exchange(m_handler, nullptr);
     if (m_reusable && clean && !m_sawOther) {
         m_idleSince = base::system_clock().now();
+        bufferevent_enable(m_events, EV_READ); // The answer may have ended while reading was paused.
         m_options.onIdle(*this);
     } else {
         close();
--- a/src/libs/relay/waiting_room.cpp
+++ b/src/libs/relay/waiting_room.cpp
@@ -29,9 +29,8 @@
     std::erase(m_waiting, &request);
 }
 
-bool waiting_room::goesBefore(const waiting_request& a, const waiting_request& b) const
+bool waiting_room::goesBefore(const waiting_request& a, const waiting_request& b, base::time_point now)
 {
-    const base::time_point now = m_clock.now();
     const auto rank = [now](const waiting_request& item) {
         return std::tuple(item.goalAt() < now, item.urgency(), item.arrivedAt());
     };
@@ -40,9 +39,10 @@
 
 bool waiting_room::mustWaitBehind(const waiting_request& request) const
 {
+    const base::time_point now = m_clock.now();
     return std::ranges::any_of(m_waiting, [&](const waiting_request* other) {
         return other->service() == request.service() && other->size() <= request.size()
-            && goesBefore(*other, request);
+            && goesBefore(*other, request, now);
     });
 }
 
@@ -59,7 +59,9 @@
 void waiting_room::pump()
 {
     std::vector<waiting_request*> order = std::exchange(m_waiting, {});
-    std::ranges::stable_sort(order, [this](auto* a, auto* b) { return goesBefore(*a, *b); });
+    // One time for all comparisons: an order that changes while it is sorted by makes the sort read outside.
+    const base::time_point now = m_clock.now();
+    std::ranges::stable_sort(order, [now](auto* a, auto* b) { return goesBefore(*a, *b, now); });
     // A request for which there was no room tells that a larger one of its service finds none either.
     std::map<std::string, int, std::less<>> smallestRefused;
     std::vector<waiting_request*> left;
--- a/src/libs/relay/waiting_room.h
+++ b/src/libs/relay/waiting_room.h
@@ -62,7 +62,7 @@
     std::size_t size() const { return m_waiting.size(); }
 
 private:
-    bool goesBefore(const waiting_request& a, const waiting_request& b) const;
+    static bool goesBefore(const waiting_request& a, const waiting_request& b, base::time_point now);
 
     base::scheduler& m_timers;
     const base::clock& m_clock;
--- a/tests/libs/relay/waiting_room_test.cpp
+++ b/tests/libs/relay/waiting_room_test.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <deque>
 #include <string>
+#include <tuple>
+#include <vector>
 
 using namespace marigold;
 using namespace marigold::relay;
@@ -96,6 +98,47 @@
     CHECK(w.placed == std::vector<std::string> { "fresh" });
 }
 
+TEST_CASE("the order is that of one moment, also while time goes on")
+{
+    // Guards against a comparison that changes during a sort, which then reads outside its range (a relay
+    // crashed with many waiting requests on the day orders-late, seed 543221757167).
+    class ticking_clock final : public base::clock {
+    public:
+        base::time_point now() const override
+        {
+            return base::time_point(std::chrono::milliseconds(++m_reads));
+        }
+        base::wall_time wallNow() const override { return {}; }
+        mutable int m_reads = 1000;
+    };
+    ticking_clock time;
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    waiting_room room { timers, time, {} };
+    world w;
+    w.places = 1000;
+    constexpr int count = 200;
+    for (int i = 0; i < count; ++i) {
+        auto& item = w.requests.emplace_back();
+        item.owner = &w;
+        item.name = std::to_string(i);
+        item.priority = i % 3;
+        item.tokens = 1;
+        item.arrived = base::time_point(std::chrono::milliseconds(i));
+        item.goal = base::time_point(std::chrono::milliseconds(1000 + (i * 37) % 400));
+        room.add(item);
+    }
+    const base::time_point moment(std::chrono::milliseconds(time.m_reads + 1));
+    room.pump();
+    REQUIRE(w.placed.size() == count);
+    std::vector<std::tuple<bool, int, base::time_point>> ranks;
+    for (const std::string& name : w.placed) {
+        const auto& item = w.requests[std::stoul(name)];
+        ranks.emplace_back(item.goal < moment, item.priority, item.arrived);
+    }
+    CHECK(std::is_sorted(ranks.begin(), ranks.end()));
+}
+
 TEST_CASE("a small request passes a larger one that finds no room")
 {
     // Guards against a head of the line that blocks requests for which there is memory.
