--- a/tests/libs/relay/waiting_room_test.cpp
+++ b/tests/libs/relay/waiting_room_test.cpp
@@ -104,12 +104,9 @@
     // crashed with many waiting requests on the day orders-late, seed 543221757167).
     class ticking_clock final : public base::clock {
     public:
-        base::time_point now() const override
-        {
-            return base::time_point(std::chrono::milliseconds(++m_reads));
-        }
+        base::time_point now() const override { return base::time_point(std::chrono::milliseconds(++reads)); }
         base::wall_time wallNow() const override { return {}; }
-        mutable int m_reads = 1000;
+        mutable int reads = 1000;
     };
     ticking_clock time;
     base::manual_clock clock;
@@ -128,7 +125,7 @@
         item.goal = base::time_point(std::chrono::milliseconds(1000 + (i * 37) % 400));
         room.add(item);
     }
-    const base::time_point moment(std::chrono::milliseconds(time.m_reads + 1));
+    const base::time_point moment(std::chrono::milliseconds(time.reads + 1));
     room.pump();
     REQUIRE(w.placed.size() == count);
     std::vector<std::tuple<bool, int, base::time_point>> ranks;
