Pass the events of context stores on between relays

Cause: a context store answers 12 questions for events at a time. At a site with more relays all of them asked all the time, most were refused (429), and with nothing heard for 2.2 s they used no kept context of that store.

Ruled out: a smaller bound on freshness (a store that restarts must not be read from), and a list instead of events (it stalls the store's work).

Change: two thirds of the places of a store go to readers, which are computed by rendezvous hashing from the known relays. A reader passes each batch on in datagrams to its share of the others. These notice gaps by the numbers of the events and ask by themselves after a gap or 1.5 s of silence. Lists are passed on in numbered pieces, so that a gap at many relays costs eight lists, not one for each. An answer that a paused process finds late no longer counts as heard now. With at most as many relays as places all of them ask, as before.

What is read again at 298 has another cause, not traced.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -255,4 +255,10 @@
     return found == m_stores.end() ? 0 : found->second.info.capacityTokens;
 }
 
+int context_catalog::simultaneousCalls(const net::endpoint& address) const
+{
+    const auto found = m_stores.find(address.text());
+    return found == m_stores.end() ? 0 : found->second.info.simultaneousCalls;
+}
+
 } // namespace marigold::relay
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -22,6 +22,7 @@
     std::string scope;
     std::string partId;
     int tokens = 0; ///< Held now.
+    std::uint64_t number = 0; ///< Grows with each event of a store; 0 in a list.
 };
 
 /// Answer of a store to a question for events.
@@ -101,6 +102,9 @@
     std::int64_t heldTokens(const net::endpoint& address) const;
     std::int64_t capacityTokens(const net::endpoint& address) const;
 
+    /// Questions for events that the store answers at a time; 0 if it does not say.
+    int simultaneousCalls(const net::endpoint& address) const;
+
 private:
     struct held_part {
         int tokens = 0;
--- /dev/null
+++ b/src/libs/relay/context_digest.cpp
@@ -0,0 +1,103 @@
+#include "context_digest.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::relay {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t fieldsOfEvent = 4;
+constexpr int noList = -1; ///< In place of the piece of a list.
+constexpr int dropped = -1; ///< In place of the tokens held.
+
+} // namespace
+
+std::vector<context_digest> split(const context_digest& digest, std::size_t mostEvents)
+{
+    const std::vector<context_event>& events = digest.batch.events;
+    std::vector<context_digest> out;
+    std::uint64_t since = digest.since;
+    std::size_t begin = 0;
+    do {
+        const std::size_t end = std::min(begin + mostEvents, events.size());
+        const bool last = end == events.size();
+        context_digest piece { .process = digest.process,
+            .store = digest.store,
+            .since = since,
+            .batch = { .epoch = digest.batch.epoch,
+                // The items of a list have no numbers of their own: all of them are the state at its end.
+                .next = last || digest.listPiece ? digest.batch.next : events[end - 1].number } };
+        if (digest.listPiece) {
+            piece.listPiece = static_cast<int>(out.size());
+            piece.listEnds = last;
+        } else {
+            since = piece.batch.next;
+        }
+        piece.batch.events.assign(events.begin() + static_cast<std::ptrdiff_t>(begin),
+            events.begin() + static_cast<std::ptrdiff_t>(end));
+        out.push_back(std::move(piece));
+        begin = end;
+    } while (begin < events.size());
+    return out;
+}
+
+std::string encode(const context_digest& digest)
+{
+    // Each scope stands once, and the fields of an event follow each other without names: these datagrams are
+    // most of what relays send to each other at a large site.
+    std::vector<std::string> scopes;
+    json fields = json::array();
+    for (const context_event& event : digest.batch.events) {
+        const auto known = std::ranges::find(scopes, event.scope);
+        const std::ptrdiff_t index = known - scopes.begin();
+        if (known == scopes.end())
+            scopes.push_back(event.scope);
+        fields.push_back(event.number);
+        fields.push_back(event.stored ? event.tokens : dropped);
+        fields.push_back(index);
+        fields.push_back(event.partId);
+    }
+    std::string bytes(1, contextDigestKind);
+    json::to_msgpack(
+        json::array({ digest.process, digest.store, digest.since, digest.listPiece.value_or(noList),
+            digest.listEnds, digest.batch.epoch, digest.batch.next, scopes, std::move(fields) }),
+        bytes);
+    return bytes;
+}
+
+base::result<context_digest> decodeContextDigest(std::string_view bytes)
+{
+    if (!bytes.starts_with(contextDigestKind))
+        return base::notRun(base::error_reason::InvalidRequest, "not a context digest");
+    try {
+        const json value = json::from_msgpack(bytes.substr(1));
+        constexpr std::size_t scopesAt = 7;
+        constexpr std::size_t fieldsAt = 8;
+        context_digest digest { .process = value.at(0),
+            .store = value.at(1),
+            .since = value.at(2),
+            .listEnds = value.at(4).get<bool>(),
+            .batch = { .epoch = value.at(5), .next = value.at(6) } };
+        if (const int piece = value.at(3); piece != noList)
+            digest.listPiece = piece;
+        const json& scopes = value.at(scopesAt);
+        const json& fields = value.at(fieldsAt);
+        for (std::size_t i = 0; i + fieldsOfEvent <= fields.size(); i += fieldsOfEvent) {
+            const int tokens = fields.at(i + 1);
+            digest.batch.events.push_back({ .stored = tokens != dropped,
+                .scope = scopes.at(fields.at(i + 2).get<std::size_t>()),
+                .partId = fields.at(i + 3),
+                .tokens = std::max(tokens, 0),
+                .number = fields.at(i) });
+        }
+        return digest;
+    } catch (const json::exception& problem) {
+        return base::notRun(base::error_reason::InvalidRequest, problem.what());
+    }
+}
+
+} // namespace marigold::relay
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -42,15 +42,17 @@
         numbers.push_back(item.load.tokens);
         numbers.push_back(item.load.loading);
     }
-    std::string bytes;
+    std::string bytes(1, loadDigestKind);
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers) }), bytes);
     return bytes;
 }
 
 base::result<load_digest> decodeLoadDigest(std::string_view bytes)
 {
+    if (!bytes.starts_with(loadDigestKind))
+        return base::notRun(base::error_reason::InvalidRequest, "not a load digest");
     try {
-        const json value = json::from_msgpack(bytes);
+        const json value = json::from_msgpack(bytes.substr(1));
         load_digest digest { .process = value.at(0), .sequence = value.at(1) };
         const json& numbers = value.at(2);
         for (std::size_t i = 0; i + fieldsOfEntry <= numbers.size(); i += fieldsOfEntry)
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -32,7 +32,10 @@
     std::vector<entry> entries = {};
 };
 
-/// Encodes \a digest as MessagePack.
+/// First byte of each datagram with a load digest, which tells it from other datagrams of the relays.
+inline constexpr char loadDigestKind = 'L';
+
+/// Encodes \a digest as MessagePack behind its kind.
 std::string encode(const load_digest& digest);
 
 /// Decodes what `encode` returned; `InvalidRequest` for any other bytes.
--- a/src/libs/relay/relay_config.h
+++ b/src/libs/relay/relay_config.h
@@ -63,6 +63,7 @@
     double linkMbps = 0;
     base::duration firstByte { 0 }; ///< Added to each transfer.
     bool managed = false; ///< Frees nothing on its own.
+    int simultaneousCalls = 0; ///< Questions for events that it answers at a time; 0 if it does not say.
 };
 
 struct service_info {
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -54,9 +54,12 @@
           { .process = m_options.process,
               .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log, { .process = m_options.process })
-    , m_contextFollower(m_catalog, ports.context, loop, {})
+    , m_contextSharing(
+          [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
+          { .process = m_options.process })
+    , m_contextFollower(m_catalog, ports.context, m_contextSharing, loop, time, {})
     , m_contextKeeper(m_catalog, m_contextFollower, ports.context, m_lease, m_targets, time, log, {})
-    , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { m_loads.received(bytes); })
+    , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { datagramArrived(bytes); })
     , m_loads(m_targets, loop,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
           { .process = m_options.process })
@@ -181,6 +184,15 @@
     m_targets.setProcesses(static_cast<int>(m_processes.size()));
     m_retryBudgets.setProcesses(static_cast<int>(m_processes.size()));
     m_loads.setPeers(m_processes);
+    m_contextSharing.setProcesses(m_processes);
+}
+
+void relay_server::datagramArrived(std::string_view bytes)
+{
+    // Datagrams are hints, and the port is open to anyone: what cannot be read is left out without a line.
+    if (const auto digest = decodeContextDigest(bytes))
+        return m_contextFollower.told(*digest);
+    m_loads.received(bytes);
 }
 
 struct relay_server::state_visitor {
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -86,6 +86,7 @@
     void checkSilence();
     void finishDrainIfIdle();
     void finishDrain();
+    void datagramArrived(std::string_view bytes);
 
     net::event_loop& m_loop;
     const base::clock& m_clock;
@@ -105,6 +106,7 @@
     presence m_presence;
     order_lease_holder m_lease;
     weights_rollout m_rollout;
+    context_sharing m_contextSharing;
     context_follower m_contextFollower;
     context_keeper m_contextKeeper;
     std::set<std::string, std::less<>> m_excluded;
--- a/tests/libs/relay/context_follower_test.cpp
+++ b/tests/libs/relay/context_follower_test.cpp
@@ -32,7 +32,11 @@
             parts[part] = tokens;
         else
             parts.erase(part);
-        m_events.push_back({ .stored = tokens > 0, .scope = "s", .partId = part, .tokens = tokens });
+        m_events.push_back({ .stored = tokens > 0,
+            .scope = "s",
+            .partId = part,
+            .tokens = tokens,
+            .number = m_events.size() + 1 });
     }
     void restart()
     {
@@ -83,7 +87,8 @@
     net::endpoint address { .address = "10.0.0.1", .port = 80 };
     context_catalog catalog { clock, {} };
     fake_source source;
-    context_follower follower { catalog, source, timers, {} };
+    context_sharing sharing { [](const net::endpoint&, std::string_view) {}, { .process = "self" } };
+    context_follower follower { catalog, source, sharing, timers, clock, {} };
 
     explicit world(std::size_t keptEvents)
         : source(timers, keptEvents)
--- a/tests/libs/relay/context_keeper_test.cpp
+++ b/tests/libs/relay/context_keeper_test.cpp
@@ -46,7 +46,8 @@
     target_registry targets { clock, {} };
     context_catalog catalog { clock, {} };
     freeing_source source;
-    context_follower follower { catalog, source, timers, {} };
+    context_sharing sharing { [](const net::endpoint&, std::string_view) {}, { .process = "self" } };
+    context_follower follower { catalog, source, sharing, timers, clock, {} };
     context_keeper keeper { catalog, follower, source, lease, targets, clock, log, {} };
     net::endpoint address { .address = "10.0.0.1", .port = 80 };
 
