Take a waiting request as in time only if its first token can come in time

The waiting room put those first whose goal had not passed, oldest first, so in an overload each was placed just before its goal and answered just after it.

Change: a request is in time while its transfers and its own prefill, at the measured speed of its service, can end before the goal.

--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -122,6 +122,12 @@
     return m_team && m_team->priority ? *m_team->priority : m_route->priority;
 }
 
+base::time_point relay_session::latestPlaceAt() const
+{
+    return m_arrivedAt + m_route->latencyGoal - m_context.transferTime
+        - m_services.targets.usualPrefill(m_service->name, work());
+}
+
 placement relay_session::choose()
 {
     setScope(m_services.targets.newestVersion(m_service->name, m_request.model));
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -45,7 +45,7 @@
     int urgency() const override;
     int size() const override { return m_request.promptTokens; }
     base::time_point arrivedAt() const override { return m_arrivedAt; }
-    base::time_point goalAt() const override { return m_arrivedAt + m_route->latencyGoal; }
+    base::time_point latestPlaceAt() const override;
 
 private:
     enum class answer_state {
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -194,6 +194,15 @@
                      : base::duration::zero();
 }
 
+base::duration target_registry::usualPrefill(std::string_view service, const target_load& work) const
+{
+    const auto known = m_prefillSpeed.find(service);
+    if (known == m_prefillSpeed.end() || known->second <= 0)
+        return base::duration::zero();
+    const double seconds = static_cast<double>(work.prefillTokens) / known->second;
+    return base::duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
 void target_registry::began(target_record& target, const target_load& work)
 {
     target.intake.sent(m_clock.now());
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -85,6 +85,10 @@
     /// Returns true if \a target can begin \a work soon and the bound on its intake allows one more request.
     bool mayTake(target_record& target, const target_load& work) const;
 
+    /// Returns how long the prefill of \a work takes at an idle target of \a service; 0 while nothing was
+    /// measured.
+    base::duration usualPrefill(std::string_view service, const target_load& work) const;
+
     /// Returns how long the prefill of \a work is expected to take at \a target, behind what is there.
     base::duration expectedPrefill(const target_record& target, const target_load& work) const;
 
--- a/src/libs/relay/waiting_room.cpp
+++ b/src/libs/relay/waiting_room.cpp
@@ -32,7 +32,7 @@
 bool waiting_room::goesBefore(const waiting_request& a, const waiting_request& b, base::time_point now)
 {
     const auto rank = [now](const waiting_request& item) {
-        return std::tuple(item.goalAt() < now, item.urgency(), item.arrivedAt());
+        return std::tuple(item.latestPlaceAt() < now, item.urgency(), item.arrivedAt());
     };
     return rank(a) < rank(b);
 }
--- a/src/libs/relay/waiting_room.h
+++ b/src/libs/relay/waiting_room.h
@@ -32,8 +32,8 @@
 
     virtual base::time_point arrivedAt() const = 0;
 
-    /// When an answer stops to be in time.
-    virtual base::time_point goalAt() const = 0;
+    /// When it must have a target to be answered in time.
+    virtual base::time_point latestPlaceAt() const = 0;
 };
 
 /// Requests that wait until a target has room, instead of in the queues of single targets: a request binds to
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -210,6 +210,19 @@
     CHECK_FALSE(w.targets.mayTake(w.record(0), { .requests = 1, .tokens = 50'000 }));
 }
 
+TEST_CASE("the usual prefill follows what was measured and the size of the prompt")
+{
+    // Guards against requests that wait until their goal passes, as if their prefill took no time.
+    world w(2);
+    const target_load prompt { .requests = 1, .prefillTokens = 10'000, .tokens = 11'000 };
+    CHECK(w.targets.usualPrefill(service, prompt) == base::duration::zero());
+    w.targets.began(w.record(0), prompt);
+    w.targets.prefillEnded(w.record(0), 10'000, std::chrono::milliseconds(200)); // 50,000 tokens/s
+    CHECK(w.targets.usualPrefill(service, prompt) == std::chrono::milliseconds(200));
+    CHECK(w.targets.usualPrefill(service, { .prefillTokens = 5'000 }) == std::chrono::milliseconds(100));
+    CHECK(w.targets.usualPrefill("other", prompt) == base::duration::zero());
+}
+
 TEST_CASE("a cold target gets its share and no more")
 {
     // Guards against a cold target that falls over: FAILBACK of the users' rules.
--- a/tests/libs/relay/waiting_room_test.cpp
+++ b/tests/libs/relay/waiting_room_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -44,7 +45,7 @@
         int urgency() const override { return priority; }
         int size() const override { return tokens; }
         base::time_point arrivedAt() const override { return arrived; }
-        base::time_point goalAt() const override { return goal; }
+        base::time_point latestPlaceAt() const override { return goal; }
     };
     std::deque<request> requests;
 
@@ -98,6 +99,35 @@
     CHECK(w.placed == std::vector<std::string> { "fresh" });
 }
 
+TEST_CASE("twice the load that the targets bear leaves them busy with requests in time")
+{
+    // Guards against an overload in which each request is placed when its goal passes and is answered late:
+    // of four times the load, 37 in 100 short requests were in time instead of 49.
+    world w;
+    constexpr base::duration step = std::chrono::milliseconds(10);
+    constexpr base::duration goal = std::chrono::milliseconds(500);
+    constexpr base::duration prefill = std::chrono::milliseconds(200);
+    std::map<std::string, base::time_point> arrived;
+    int served = 0;
+    int inTime = 0;
+    for (int i = 0; i < 1000; ++i) {
+        for (int j = 0; j < 2; ++j) {
+            const std::string name = std::to_string(2 * i + j);
+            arrived[name] = w.clock.now();
+            w.add(name, 0, 2'000, goal - prefill);
+        }
+        w.places = 1; // Frees again in each step.
+        w.run(step);
+        for (const std::string& name : w.placed) {
+            ++served;
+            inTime += w.clock.now() + prefill - arrived[name] <= goal + step;
+        }
+        w.placed.clear();
+    }
+    CHECK(served >= 990);
+    CHECK(inTime >= 950);
+}
+
 TEST_CASE("the order is that of one moment, also while time goes on")
 {
     // Guards against a comparison that changes during a sort, which then reads outside its range (a relay
