Let a request that waits for its context keep no larger one from a place

Most of them were refused without having been tried: a request for which no target had room lets larger ones wait, and a request that waited for a store of its context counted as one, though it says nothing of the targets' room. Such refusals were also logged as no_target.

Change: an attempt to place says whether there was no room or the request itself was not ready; only the first holds larger ones back. A request that was never tried is refused as targets_busy.

Tests: waiting_room_test (red before: the larger one stays).

--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -134,7 +134,7 @@
     m_context = m_services.context.plan(m_scope, m_request.parts);
     const auto patience = fetchPatience * static_cast<double>(m_route->latencyGoal.count());
     if (m_context.mustWait && elapsed() < base::duration(static_cast<std::int64_t>(patience)))
-        return { .outcome = placement_outcome::Busy };
+        return { .outcome = placement_outcome::ContextBusy };
     const std::size_t shared = m_request.parts.empty() ? 0 : m_request.parts.size() - 1;
     return m_services.chooser.choose({ .service = m_service->name,
         .model = m_service->engine ? std::string_view(m_request.model) : std::string_view(),
@@ -168,14 +168,16 @@
     m_services.waiting.add(*this);
 }
 
-bool relay_session::tryPlace()
+place_attempt relay_session::tryPlace()
 {
     const placement found = choose();
     m_lastChoice = found.outcome;
+    if (found.outcome == placement_outcome::ContextBusy)
+        return place_attempt::NotReady;
     if (found.outcome != placement_outcome::Chosen || !send(*found.target))
-        return false;
+        return place_attempt::NoRoom;
     m_waits = false;
-    return true;
+    return place_attempt::Placed;
 }
 
 void relay_session::giveUp()
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -38,7 +38,7 @@
     void answerPiece(std::string_view piece) override;
     void answerEnds() override;
     void answerFails(const base::error& failure) override;
-    bool tryPlace() override;
+    place_attempt tryPlace() override;
     void giveUp() override;
     base::time_point waitsUntil() const override { return m_placeBy; }
     std::string_view service() const override { return m_service->name; }
@@ -96,7 +96,7 @@
     base::time_point m_answerBy {};
     base::time_point m_placeBy {}; ///< Until when the request waits for a place at a target.
     bool m_waits = false; ///< Is in the waiting room.
-    placement_outcome m_lastChoice = placement_outcome::NoTarget;
+    placement_outcome m_lastChoice = placement_outcome::Busy;
     base::timer_id m_limitTimer = 0;
     std::string m_scope;
     context_catalog::planned m_context;
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -29,6 +29,7 @@
 enum class placement_outcome {
     Chosen,
     Busy, ///< Every target has its share for the moment; a place comes within a second.
+    ContextBusy, ///< The stores of its context have enough transfers under way; it may wait for them.
     NoTarget, ///< No target serves this now.
 };
 
--- a/src/libs/relay/waiting_room.cpp
+++ b/src/libs/relay/waiting_room.cpp
@@ -70,9 +70,11 @@
         if (refused == smallestRefused.end() || request->size() < refused->second) {
             const std::string service(request->service());
             const int size = request->size();
-            if (request->tryPlace())
+            const place_attempt attempt = request->tryPlace();
+            if (attempt == place_attempt::Placed)
                 continue;
-            smallestRefused.emplace(service, size).first->second = size;
+            if (attempt == place_attempt::NoRoom)
+                smallestRefused.emplace(service, size).first->second = size;
         }
         if (request->waitsUntil() <= m_clock.now())
             request->giveUp();
--- a/src/libs/relay/waiting_room.h
+++ b/src/libs/relay/waiting_room.h
@@ -9,13 +9,19 @@
 
 namespace marigold::relay {
 
+enum class place_attempt {
+    Placed,
+    NoRoom, ///< No target has room for the request; a larger one finds none either.
+    NotReady, ///< The request waits for something of its own.
+};
+
 /// A request that waits for a place at a target.
 class waiting_request {
 public:
     virtual ~waiting_request() = default;
 
-    /// Tries to find a place; returns false if there is none yet.
-    virtual bool tryPlace() = 0;
+    /// Tries to find a place.
+    virtual place_attempt tryPlace() = 0;
 
     /// Ends the request, which has waited until `waitsUntil` in vain.
     virtual void giveUp() = 0;
--- a/tests/libs/relay/waiting_room_test.cpp
+++ b/tests/libs/relay/waiting_room_test.cpp
@@ -31,13 +31,17 @@
         base::time_point arrived;
         base::time_point goal;
 
-        bool tryPlace() override
+        bool ready = true;
+
+        place_attempt tryPlace() override
         {
+            if (!ready)
+                return place_attempt::NotReady;
             if (owner->places == 0 || tokens > owner->largest)
-                return false;
+                return place_attempt::NoRoom;
             --owner->places;
             owner->placed.push_back(name);
-            return true;
+            return place_attempt::Placed;
         }
         void giveUp() override { owner->givenUp.push_back(name); }
         base::time_point waitsUntil() const override { return arrived + std::chrono::milliseconds(1500); }
@@ -166,6 +170,18 @@
     CHECK(std::is_sorted(ranks.begin(), ranks.end()));
 }
 
+TEST_CASE("a request that waits for its context keeps no larger one from a place")
+{
+    // Guards against large prompts left out of a burst: of the largest tenth 23 in 100 were served, of
+    // all 81.
+    world w;
+    w.add("small", 0, 2'000).ready = false;
+    w.add("large", 1, 20'000);
+    w.places = 5;
+    w.run(std::chrono::milliseconds(30));
+    CHECK(w.placed == std::vector<std::string> { "large" });
+}
+
 TEST_CASE("a small request passes a larger one that finds no room")
 {
     // Guards against a head of the line that blocks requests for which there is memory.
