--- a/src/libs/base/event_log.cpp
+++ b/src/libs/base/event_log.cpp
@@ -53,6 +53,8 @@
 
 void event_log::write(const event_definition& event, std::initializer_list<event_field> fields) const
 {
+    if (m_options.onEvent)
+        m_options.onEvent(event);
     if (event.level < m_options.minimum)
         return;
     std::string line;
--- a/src/libs/base/event_log.h
+++ b/src/libs/base/event_log.h
@@ -43,6 +43,7 @@
 class event_log {
 public:
     using sink = std::function<void(std::string_view line)>;
+    using observer = std::function<void(const event_definition& event)>;
     using leveled_sink = std::function<void(std::string_view line, log_level level)>;
 
     struct options {
@@ -51,6 +52,7 @@
         std::string process = {}; ///< Name of this process, repeated on each line.
         sink output = {}; ///< Standard error when empty.
         leveled_sink leveledOutput = {}; ///< Instead of `output`, if set.
+        observer onEvent = {}; ///< Told of every event, also of those below the minimum.
     };
 
     event_log()
--- /dev/null
+++ b/src/libs/relay/counted_store.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "relay_metrics.h"
+
+#include <platform/platform.h>
+
+namespace marigold::relay {
+
+/// Counts the calls of the platform's store and their errors.
+class counted_store final : public platform::kv_store {
+public:
+    counted_store(platform::kv_store& store, relay_metrics& metrics)
+        : m_store(store)
+        , m_metrics(metrics)
+    {
+    }
+
+    void get(std::string_view key, callback<std::optional<platform::kv_entry>> done) override;
+    void put(platform::kv_write write, callback<std::uint64_t> done) override;
+    void remove(std::string_view key, std::uint64_t expectedRevision, callback<void> done) override;
+    void range(std::string_view prefix, std::string_view after, std::size_t limit,
+        callback<std::vector<platform::kv_entry>> done) override;
+    void snapshot(std::string_view prefix, callback<platform::kv_snapshot> done) override;
+    void grantLease(base::duration timeToLive, callback<std::uint64_t> done) override;
+    void keepAlive(std::uint64_t lease, callback<void> done) override;
+    void revokeLease(std::uint64_t lease, callback<void> done) override;
+    void watch(std::string_view prefix, std::uint64_t afterRevision, base::duration patience,
+        callback<platform::kv_watch_batch> done) override;
+
+private:
+    /// Returns \a done, preceded by the count of how \a call ended.
+    template <typename T> callback<T> counting(std::string_view call, callback<T> done);
+
+    platform::kv_store& m_store;
+    relay_metrics& m_metrics;
+};
+
+} // namespace marigold::relay
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -1,5 +1,6 @@
 #include "relay_metrics.h"
 
+#include <algorithm>
 #include <array>
 
 #include <prometheus/counter.h>
@@ -22,6 +23,16 @@
     return status == 0 ? "none" : std::to_string(status / perClass) + "xx";
 }
 
+/// Reasons of this process; those that come from targets have no bounded number and count as one.
+constexpr std::array<std::string_view, 9> ownReasons { "no_target", "targets_busy", "no_service",
+    "no_configuration", "no_route", "unknown_key", "time_limit", "stopping", "no_further_target" };
+
+std::string reasonLabel(std::string_view reason)
+{
+    return std::string(
+        std::ranges::find(ownReasons, reason) != ownReasons.end() ? reason : std::string_view("target"));
+}
+
 } // namespace
 
 std::string_view nameOf(relay_outcome outcome)
@@ -41,6 +52,29 @@
               .Name("marigold_relay_first_byte_seconds")
               .Help("From the arrival of a request to the first byte of its answer")
               .Register(registry);
+    prometheus::Family<prometheus::Histogram>& sentAfter
+        = prometheus::BuildHistogram()
+              .Name("marigold_relay_sent_after_seconds")
+              .Help("From the arrival of a request to its last send to a target")
+              .Register(registry);
+    prometheus::Family<prometheus::Counter>& refusals = prometheus::BuildCounter()
+                                                            .Name("marigold_relay_refusals_total")
+                                                            .Help("Requests refused or broken off, by reason")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Counter>& events = prometheus::BuildCounter()
+                                                          .Name("marigold_relay_events_total")
+                                                          .Help("Events of the log, left out lines included")
+                                                          .Register(registry);
+    prometheus::Family<prometheus::Counter>& storeCalls
+        = prometheus::BuildCounter()
+              .Name("marigold_relay_store_calls_total")
+              .Help("Calls of the platform's store, by result")
+              .Register(registry);
+    prometheus::Counter& retriesDenied = prometheus::BuildCounter()
+                                             .Name("marigold_relay_retries_denied_total")
+                                             .Help("Retries that the budget of the service did not allow")
+                                             .Register(registry)
+                                             .Add({});
     prometheus::Family<prometheus::Counter>& sends
         = prometheus::BuildCounter()
               .Name("marigold_relay_sends_total")
@@ -77,6 +111,11 @@
     if (request.firstByteAfter)
         m_families->firstByte.Add({ { "kind", kind } }, latencyBounds)
             .Observe(std::chrono::duration<double>(*request.firstByteAfter).count());
+    if (request.sentAfter)
+        m_families->sentAfter.Add({ { "kind", kind } }, latencyBounds)
+            .Observe(std::chrono::duration<double>(*request.sentAfter).count());
+    if (!request.reason.empty())
+        m_families->refusals.Add({ { "reason", reasonLabel(request.reason) } }).Increment();
     if (request.outcome != relay_outcome::Answered || request.promptTokens == 0)
         return;
     m_families->tokens.Add({ { "part", "all" } }).Increment(request.promptTokens);
@@ -84,10 +123,27 @@
     m_families->tokens.Add({ { "part", "fetched" } }).Increment(request.fetchedTokens);
 }
 
+void relay_metrics::eventLogged(std::string_view name)
+{
+    m_families->events.Add({ { "event", std::string(name) } }).Increment();
+}
+
+void relay_metrics::retryDenied()
+{
+    m_families->retriesDenied.Increment();
+}
+
+void relay_metrics::storeCallEnded(std::string_view call, std::string_view result)
+{
+    m_families->storeCalls.Add({ { "call", std::string(call) }, { "result", std::string(result) } })
+        .Increment();
+}
+
 std::string relay_metrics::exposition(const relay_gauges& gauges)
 {
-    const std::array<std::pair<const char*, double>, 9> values { {
+    const std::array<std::pair<const char*, double>, 10> values { {
         { "config_version", static_cast<double>(gauges.configVersion) },
+        { "config_age_seconds", std::chrono::duration<double>(gauges.configAge).count() },
         { "targets", static_cast<double>(gauges.targets) },
         { "waiting_requests", static_cast<double>(gauges.waiting) },
         { "open_requests", static_cast<double>(gauges.requests) },
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -30,6 +30,8 @@
     int status = 0; ///< That the caller saw; 0 if none.
     int sends = 0;
     std::optional<base::duration> firstByteAfter = {};
+    std::optional<base::duration> sentAfter = {}; ///< From the arrival to the last send.
+    std::string_view reason = {}; ///< Why it was refused or broke off.
     int promptTokens = 0;
     int sharedTokens = 0;
     int fetchedTokens = 0; ///< Of the shared parts, planned to be fetched from a store.
@@ -38,6 +40,7 @@
 /// State that is read when the metrics are asked for.
 struct relay_gauges {
     std::uint64_t configVersion = 0;
+    base::duration configAge { 0 }; ///< Since this version came into force here.
     std::size_t targets = 0;
     std::size_t waiting = 0;
     std::size_t requests = 0;
@@ -58,6 +61,15 @@
 
     void requestEnded(const ended_request& request);
 
+    /// Counts an event of the log, also one that the log left out.
+    void eventLogged(std::string_view name);
+
+    /// Counts a retry that the budget of its service did not allow.
+    void retryDenied();
+
+    /// Counts a call of the platform's store; \a result is "ok" or the verdict of the error.
+    void storeCallEnded(std::string_view call, std::string_view result);
+
     /// Returns all metrics with \a gauges in the Prometheus text format 0.0.4.
     std::string exposition(const relay_gauges& gauges);
 
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -36,6 +36,8 @@
     , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
     , m_catalog(time, {})
     , m_waiting(loop, time, {})
+    , m_metrics(ports.metrics)
+    , m_store(ports.store, m_metrics)
     , m_retryBudgets({ .share = m_options.retryShare, .slack = m_options.retrySlack })
     , m_services { .loop = loop,
         .clock = time,
@@ -51,10 +53,9 @@
         .retryBudgets = m_retryBudgets,
         .startedAt = time.now(),
         .config = nullptr }
-    , m_follower(ports.store, ports.decoder, loop, time, m_random, log, *this, {})
-    , m_presence(
-          ports.store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
-    , m_lease(ports.store, ports.decoder, loop, time, m_random, log,
+    , m_follower(m_store, ports.decoder, loop, time, m_random, log, *this, {})
+    , m_presence(m_store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
+    , m_lease(m_store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .settle = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderSettle })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log, { .process = m_options.process })
@@ -103,8 +104,9 @@
         const auto request = m_ports.dialect.readRequest(head);
         const std::string id = request ? request->attemptId : std::string();
         caller.answer(http_status::serviceUnavailable, m_ports.dialect.ownAnswerFields(id, atOnce), {});
-        m_metrics.requestEnded(
-            { .outcome = relay_outcome::OwnAnswer, .status = http_status::serviceUnavailable });
+        m_metrics.requestEnded({ .outcome = relay_outcome::OwnAnswer,
+            .status = http_status::serviceUnavailable,
+            .reason = "stopping" });
         m_log.write(events::requestEnded,
             { { "request", id }, { "outcome", std::string(nameOf(relay_outcome::OwnAnswer)) },
                 { "status", std::to_string(http_status::serviceUnavailable) },
@@ -134,6 +136,7 @@
 void relay_server::metricsAsked(caller_connection& caller)
 {
     const relay_gauges gauges { .configVersion = m_services.config ? m_services.config->version() : 0,
+        .configAge = m_services.config ? m_clock.now() - m_configSince : base::duration::zero(),
         .targets = m_targets.targets().size(),
         .waiting = m_waiting.size(),
         .requests = m_sessions.size(),
@@ -177,6 +180,7 @@
     if (!m_services.config)
         m_log.write(events::processState, { { "state", "ready" } });
     m_services.config = config;
+    m_configSince = m_clock.now();
     m_callers.setLimits(config->limits());
     m_targets.setConfig(config);
     m_catalog.setConfig(*config);
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -3,6 +3,7 @@
 #include "caller_listener.h"
 #include "context_follower.h"
 #include "context_keeper.h"
+#include "counted_store.h"
 #include "load_exchange.h"
 #include "order_lease_holder.h"
 #include "presence.h"
@@ -25,6 +26,7 @@
     platform::kv_store& store;
     target_control& control;
     context_source& context;
+    relay_metrics& metrics;
 };
 
 /// Settings of one relay process.
@@ -99,7 +101,10 @@
     target_chooser m_chooser;
     context_catalog m_catalog;
     waiting_room m_waiting;
-    relay_metrics m_metrics;
+    relay_metrics& m_metrics;
+    counted_store m_store;
+    base::time_point m_configSince {};
+
     retry_budgets m_retryBudgets;
     relay_services m_services;
     state_follower m_follower;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -307,6 +307,8 @@
         .status = status,
         .sends = m_sends,
         .firstByteAfter = m_firstByteAfter,
+        .sentAfter = m_sends > 0 ? std::optional(m_sentAt - m_arrivedAt) : std::nullopt,
+        .reason = reason,
         .promptTokens = m_request.promptTokens,
         .sharedTokens = m_request.sharedTokens(),
         .fetchedTokens = m_context.keptTokens });
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -173,7 +173,11 @@
     m_collected.clear();
     m_events.dropPartial();
     m_verdict = base::combine(m_verdict, failure.verdict);
-    const bool again = mayTryAgain(failure.verdict) && m_services.retryBudgets.of(m_service->name).tryRetry();
+    bool again = mayTryAgain(failure.verdict);
+    if (again && !m_services.retryBudgets.of(m_service->name).tryRetry()) {
+        m_services.metrics.retryDenied();
+        again = false;
+    }
     m_services.log.write(events::attemptFailed,
         { { "request", m_request.attemptId }, { "target", target },
             { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -54,12 +54,14 @@
     base::system_clock clock;
     base::bounded_output output(
         clock, { .describeDropped = [&](std::uint64_t lines) { return droppedLine(settings, lines); } });
+    relay::relay_metrics metrics;
     const base::event_log log({ .minimum = settings.logLevel,
         .format = base::log_format::Json,
         .process = settings.process,
-        .leveledOutput = [&](std::string_view line, base::log_level level) {
-            output.write(line, level >= base::log_level::Warning);
-        } });
+        .leveledOutput
+        = [&](std::string_view line,
+              base::log_level level) { output.write(line, level >= base::log_level::Warning); },
+        .onEvent = [&](const base::event_definition& event) { metrics.eventLogged(event.name); } });
     net::event_loop loop;
     net::http_client client(loop);
     platform_adapter::header_dialect dialect;
@@ -67,7 +69,12 @@
     platform_adapter::store_client store(client, { .store = endpointOf(settings.storeAddress) });
     platform_adapter::target_client targets(client, {});
     relay::relay_server server(loop, clock, log,
-        { .dialect = dialect, .decoder = decoder, .store = store, .control = targets, .context = targets },
+        { .dialect = dialect,
+            .decoder = decoder,
+            .store = store,
+            .control = targets,
+            .context = targets,
+            .metrics = metrics },
         optionsOf(settings, random));
     loop.onSignal(SIGTERM, [&] { server.drain(); });
     loop.onSignal(SIGINT, [&] { server.drain(); });
