--- a/src/libs/diagnose/request_explanation.cpp
+++ b/src/libs/diagnose/request_explanation.cpp
@@ -247,64 +247,82 @@
     return record.process == process;
 }
 
-} // namespace
-
-request_explanation explain(const log_collection& logs)
+/// Collects what is known of the request that ended with \a end.
+facts factsOf(const log_collection& logs, const log_record& end)
 {
-    const auto end = std::ranges::find(logs.ofRequest(), requestEnded, &log_record::name);
-    if (end == logs.ofRequest().end())
-        return explainMissing(logs);
-    facts known { .logs = logs, .end = *end };
-    known.arrival = end->time - known.age();
+    facts known { .logs = logs, .end = end };
+    known.arrival = end.time - known.age();
     for (const log_record& record : logs.ofRequest()) {
         known.arrival = std::min(known.arrival, record.time); // Ages are rounded.
         if (record.name == attemptFailed)
             known.failedAttempts.push_back(&record);
     }
-    const process_activity& activity = logs.processes().at(end->process);
-    for (const log_gap& gap : activity.gaps) {
-        const milliseconds overlap = std::min(gap.end, end->time) - std::max(gap.begin, known.arrival);
+    for (const log_gap& gap : logs.processes().at(end.process).gaps) {
+        const milliseconds overlap = std::min(gap.end, end.time) - std::max(gap.begin, known.arrival);
         known.standstill = std::max(known.standstill, overlap);
     }
+    return known;
+}
 
-    request_explanation out { .found = true, .process = end->process };
-    const auto row = std::ranges::find_if(causes, [&](const cause_row& each) { return each.applies(known); });
-    out.cause = row->tell(known);
-    if (!known.reason().empty()) {
-        constexpr milliseconds around { 1000 };
-        if (const auto others
-            = logs.endedWith(end->process, known.reason(), end->time - around, end->time + around);
-            others > 0)
-            out.evidence.push_back(fmt::format(
-                "{} other requests ended at {} with the same reason within a second", others, end->process));
-    }
-    if (activity.droppedLines > 0)
-        out.evidence.push_back(fmt::format("{} left out {} lines", end->process, activity.droppedLines));
-    const clock_offsets clocks(logs.general(), end->process);
-    for (const auto& [process, offset] : clocks.differing())
-        out.evidence.push_back(fmt::format("the clock of {} is {} ms {}; its times are corrected", process,
+std::vector<std::string> evidenceOf(const facts& known, const clock_offsets& clocks)
+{
+    constexpr milliseconds around { 1000 };
+    std::vector<std::string> out;
+    const std::string& process = known.end.process;
+    const auto others = known.reason().empty()
+        ? 0
+        : known.logs.endedWith(process, known.reason(), known.end.time - around, known.end.time + around);
+    if (others > 0)
+        out.push_back(fmt::format(
+            "{} other requests ended at {} with the same reason within a second", others, process));
+    if (const auto dropped = known.logs.processes().at(process).droppedLines; dropped > 0)
+        out.push_back(fmt::format("{} left out {} lines", process, dropped));
+    for (const auto& [other, offset] : clocks.differing())
+        out.push_back(fmt::format("the clock of {} is {} ms {}; its times are corrected", other,
             std::chrono::abs(offset).count(), offset > milliseconds(0) ? "ahead" : "behind"));
+    return out;
+}
 
-    std::set<std::string_view> targets { end->field("target") };
+std::vector<explained_event> timelineOf(const facts& known, const clock_offsets& clocks)
+{
+    std::set<std::string_view> targets { known.target() };
     for (const log_record* attempt : known.failedAttempts)
         targets.insert(attempt->field("target"));
     targets.erase("");
-    out.timeline.push_back({ .process = end->process, .name = "request_arrived" });
+    std::vector<explained_event> out { { .process = known.end.process, .name = "request_arrived" } };
     const auto add = [&](const log_record& record) {
-        out.timeline.push_back({ .at = record.time - clocks.of(record.process) - known.arrival,
+        out.push_back({ .at = record.time - clocks.of(record.process) - known.arrival,
             .process = record.process,
             .name = record.name,
             .detail = detailOf(record) });
     };
-    for (const log_record& record : logs.ofRequest())
+    for (const log_record& record : known.logs.ofRequest())
         add(record);
-    for (const log_record& record : logs.general()) {
+    for (const log_record& record : known.logs.general()) {
         const milliseconds time = record.time - clocks.of(record.process);
-        if (time >= known.arrival - lookBack && time <= end->time && isRelated(record, end->process, targets))
+        if (time >= known.arrival - lookBack && time <= known.end.time
+            && isRelated(record, known.end.process, targets))
             add(record);
     }
-    std::ranges::stable_sort(out.timeline, {}, &explained_event::at);
+    std::ranges::stable_sort(out, {}, &explained_event::at);
     return out;
 }
 
+} // namespace
+
+request_explanation explain(const log_collection& logs)
+{
+    const auto end = std::ranges::find(logs.ofRequest(), requestEnded, &log_record::name);
+    if (end == logs.ofRequest().end())
+        return explainMissing(logs);
+    const facts known = factsOf(logs, *end);
+    const clock_offsets clocks(logs.general(), end->process);
+    const auto row = std::ranges::find_if(causes, [&](const cause_row& each) { return each.applies(known); });
+    return { .found = true,
+        .process = end->process,
+        .cause = row->tell(known),
+        .evidence = evidenceOf(known, clocks),
+        .timeline = timelineOf(known, clocks) };
+}
+
 } // namespace marigold::diagnose
--- a/src/libs/relay/context_digest.cpp
+++ b/src/libs/relay/context_digest.cpp
@@ -80,10 +80,12 @@
         context_digest digest { .process = value.at(0),
             .store = value.at(1),
             .since = value.at(2),
-            .listEnds = value.at(4).get<bool>(),
+
             .batch = { .epoch = value.at(5), .next = value.at(6) } };
-        if (const int piece = value.at(3); piece != noList)
+        if (const int piece = value.at(3); piece != noList) {
             digest.listPiece = piece;
+            digest.listEnds = value.at(4).get<bool>();
+        }
         const json& scopes = value.at(scopesAt);
         const json& fields = value.at(fieldsAt);
         for (std::size_t i = 0; i + fieldsOfEvent <= fields.size(); i += fieldsOfEvent) {
--- a/src/libs/relay/context_digest.h
+++ b/src/libs/relay/context_digest.h
@@ -21,7 +21,7 @@
     std::uint64_t since = 0;
     /// Of a list of all that the store holds, instead of events: which piece of the list this is.
     std::optional<int> listPiece = {};
-    bool listEnds = true; ///< With this piece.
+    bool listEnds = true; ///< With this piece; always true without a list.
     context_event_batch batch;
 };
 
--- a/src/libs/relay/waiting_room.h
+++ b/src/libs/relay/waiting_room.h
@@ -9,6 +9,7 @@
 
 namespace marigold::relay {
 
+/// How an attempt to find a place for a request went.
 enum class place_attempt {
     Placed,
     NoRoom, ///< No target has room for the request; a larger one finds none either.
--- a/tests/libs/relay/context_sharing_test.cpp
+++ b/tests/libs/relay/context_sharing_test.cpp
@@ -378,6 +378,11 @@
         const auto marked = decodeContextDigest(std::string(1, contextDigestKind) + bytes);
         RC_ASSERT(!marked || bytes.size() > 8);
     }));
+    // A list that goes on without being one would leave the receiver without the number of the next piece.
+    const auto odd = decodeContextDigest(
+        encode(context_digest { .process = "p", .store = "s", .listEnds = false, .batch = { .epoch = 1 } }));
+    REQUIRE(odd);
+    CHECK(odd->listEnds);
     const std::string good = encode(context_digest { .process = "p", .store = "s", .batch = { .epoch = 1 } });
     for (std::size_t cut = 0; cut < good.size(); ++cut)
         CHECK_FALSE(decodeContextDigest(std::string_view(good).substr(0, cut)));
