--- a/src/programs/ctl/command.cpp
+++ b/src/programs/ctl/command.cpp
@@ -55,9 +55,8 @@
 Examples:
   marigoldctl --entry http://10.0.0.5:8080 --entry http://10.0.1.5:8080 status
   marigoldctl domain out hall-bodo --wait 20
-    marigoldctl explain 0191d3a4-7c1e-7b60-8f00-1c2d3e4f5a6b --json
+  marigoldctl explain 0191d3a4-7c1e-7b60-8f00-1c2d3e4f5a6b --json
   marigoldctl explain 9c41d07be2a35f68 --log relay-1.log --log relay-2.log
-
 )";
 
 } // namespace
