--- a/tests/libs/relay/context_follower_test.cpp
+++ b/tests/libs/relay/context_follower_test.cpp
@@ -1,4 +1,4 @@
-#include <relay/context_follower.h>
+#include "fake_context_store.h"
 
 #include <doctest/doctest.h>
 
@@ -10,88 +10,21 @@
 
 using namespace marigold;
 using namespace marigold::relay;
+using testing::fake_context_store;
 
 namespace {
 
-/// A store that keeps only the newest events and may restart empty.
-class fake_source final : public context_source {
-public:
-    fake_source(base::scheduler& timers, std::size_t keptEvents)
-        : m_timers(timers)
-        , m_kept(keptEvents)
-    {
-    }
-
-    std::map<std::string, int> parts;
-    int lists = 0;
-    bool down = false;
-
-    void change(const std::string& part, int tokens)
-    {
-        if (tokens > 0)
-            parts[part] = tokens;
-        else
-            parts.erase(part);
-        m_events.push_back({ .stored = tokens > 0,
-            .scope = "s",
-            .partId = part,
-            .tokens = tokens,
-            .number = m_events.size() + 1 });
-    }
-    void restart()
-    {
-        parts.clear();
-        m_events.clear();
-        ++m_epoch;
-    }
-
-    void events(const net::endpoint&, std::uint64_t since, base::duration,
-        callback<context_event_batch> done) override
-    {
-        m_timers.runAfter(m_delay, [this, since, done] {
-            if (down)
-                return done(base::mayHaveRun(base::error_reason::Unavailable, "down"));
-            const std::uint64_t last = m_events.size();
-            const std::uint64_t first = last > m_kept ? last - m_kept : 0;
-            context_event_batch batch { .epoch = m_epoch, .next = last, .lost = since < first };
-            for (std::uint64_t i = std::max(since, first); i < last; ++i)
-                batch.events.push_back(m_events[i]);
-            done(batch);
-        });
-    }
-    void list(const net::endpoint&, callback<context_event_batch> done) override
-    {
-        ++lists;
-        m_timers.runAfter(m_delay, [this, done] {
-            context_event_batch batch { .epoch = m_epoch, .next = m_events.size() };
-            for (const auto& [part, tokens] : parts)
-                batch.events.push_back({ .stored = true, .scope = "s", .partId = part, .tokens = tokens });
-            done(batch);
-        });
-    }
-    void free(const net::endpoint&, std::uint64_t, const std::vector<context_key>&, callback<void>) override
-    {
-    }
-
-private:
-    base::scheduler& m_timers;
-    std::size_t m_kept;
-    std::uint64_t m_epoch = 1;
-    std::vector<context_event> m_events;
-    base::duration m_delay { 2000 };
-};
-
 struct world {
     base::manual_clock clock;
     base::manual_scheduler timers { clock };
     net::endpoint address { .address = "10.0.0.1", .port = 80 };
     context_catalog catalog { clock, {} };
-    fake_source source;
+    fake_context_store source;
     context_sharing sharing { [](const net::endpoint&, std::string_view) {}, { .process = "self" } };
     context_follower follower { catalog, source, sharing, timers, clock, {} };
 
     explicit world(std::size_t keptEvents)
-        : source(timers, keptEvents)
+        : source(timers, { .keptEvents = keptEvents })
     {
         relay_config::options options { .version = 1 };
         options.services.push_back({ .name = "store",
--- a/tests/libs/relay/context_sharing_test.cpp
+++ b/tests/libs/relay/context_sharing_test.cpp
@@ -1,4 +1,4 @@
-#include <relay/context_follower.h>
+#include "fake_context_store.h"
 
 #include <doctest/doctest.h>
 
@@ -13,6 +13,7 @@
 
 using namespace marigold;
 using namespace marigold::relay;
+using testing::fake_context_store;
 
 namespace {
 
@@ -20,93 +21,6 @@
 constexpr base::duration freshness = std::chrono::milliseconds(2200);
 const net::endpoint storeAddress { .address = "10.9.0.1", .port = 80 };
 
-/// A store that answers few questions at a time and tells only the newest events.
-class busy_store final : public context_source {
-public:
-    explicit busy_store(base::scheduler& timers)
-        : m_timers(timers)
-    {
-    }
-
-    std::map<std::string, int> parts;
-    int asked = 0;
-    int refused = 0;
-    int lists = 0;
-    std::size_t keptEvents = 1000;
-
-    void change(const std::string& part, int tokens)
-    {
-        if (tokens > 0)
-            parts[part] = tokens;
-        else
-            parts.erase(part);
-        m_events.push_back({ .stored = tokens > 0,
-            .scope = "s",
-            .partId = part,
-            .tokens = tokens,
-            .number = m_events.size() + 1 });
-    }
-    void restart()
-    {
-        parts.clear();
-        m_events.clear();
-        ++m_epoch;
-    }
-
-    void events(const net::endpoint&, std::uint64_t since, base::duration patience,
-        callback<context_event_batch> done) override
-    {
-        ++asked;
-        if (m_waiting == simultaneousCalls) {
-            ++refused;
-            m_timers.runAfter(
-                m_delay, [done] { done(base::notRun(base::error_reason::Overloaded, "busy")); });
-            return;
-        }
-        ++m_waiting;
-        poll(since, patience, std::move(done));
-    }
-    void list(const net::endpoint&, callback<context_event_batch> done) override
-    {
-        ++lists;
-        m_timers.runAfter(m_delay, [this, done] {
-            context_event_batch batch { .epoch = m_epoch, .next = m_events.size() };
-            for (const auto& [part, tokens] : parts)
-                batch.events.push_back({ .stored = true, .scope = "s", .partId = part, .tokens = tokens });
-            done(batch);
-        });
-    }
-    void free(const net::endpoint&, std::uint64_t, const std::vector<context_key>&, callback<void>) override
-    {
-    }
-
-private:
-    void poll(std::uint64_t since, base::duration patience, callback<context_event_batch> done)
-    {
-        const bool isNew = since != m_events.size();
-        if (!isNew && patience > base::duration::zero()) {
-            constexpr base::duration step = std::chrono::milliseconds(20);
-            m_timers.runAfter(step, [this, since, left = patience - step, done] { poll(since, left, done); });
-            return;
-        }
-        const std::uint64_t last = m_events.size();
-        const std::uint64_t first = last > keptEvents ? last - keptEvents : 0;
-        context_event_batch batch { .epoch = m_epoch, .next = last, .lost = since < first };
-        for (std::uint64_t i = std::max(since, first); i < last; ++i)
-            batch.events.push_back(m_events[i]);
-        m_timers.runAfter(m_delay, [this, batch, done] {
-            --m_waiting;
-            done(batch);
-        });
-    }
-
-    base::scheduler& m_timers;
-    std::uint64_t m_epoch = 1;
-    int m_waiting = 0;
-    std::vector<context_event> m_events;
-    base::duration m_delay = std::chrono::milliseconds(2);
-};
-
 /// Many processes before one store; datagrams take a millisecond, and some are lost.
 struct fleet {
     struct process {
@@ -135,7 +49,7 @@
 
     base::manual_clock clock;
     base::manual_scheduler timers { clock };
-    busy_store store { timers };
+    fake_context_store store { timers, { .simultaneousCalls = simultaneousCalls } };
     std::vector<std::unique_ptr<process>> processes;
     std::map<std::string, net::endpoint> addresses;
     int silent = -1; ///< Process whose datagrams do not arrive.
--- /dev/null
+++ b/tests/libs/relay/fake_context_store.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <relay/context_follower.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace marigold::testing {
+
+/// A store of context that answers few questions at a time, keeps only the newest events and may restart
+/// empty.
+class fake_context_store final : public relay::context_source {
+public:
+    struct options {
+        std::size_t keptEvents = 1000;
+        int simultaneousCalls = 1000;
+    };
+
+    fake_context_store(base::scheduler& timers, options opts)
+        : keptEvents(opts.keptEvents)
+        , m_timers(timers)
+        , m_options(opts)
+    {
+    }
+
+    std::map<std::string, int> parts;
+    std::size_t keptEvents;
+    bool down = false;
+    int asked = 0;
+    int refused = 0;
+    int lists = 0;
+
+    void change(const std::string& part, int tokens)
+    {
+        if (tokens > 0)
+            parts[part] = tokens;
+        else
+            parts.erase(part);
+        m_events.push_back({ .stored = tokens > 0,
+            .scope = "s",
+            .partId = part,
+            .tokens = tokens,
+            .number = m_events.size() + 1 });
+    }
+    void restart()
+    {
+        parts.clear();
+        m_events.clear();
+        ++m_epoch;
+    }
+
+    void events(const net::endpoint&, std::uint64_t since, base::duration patience,
+        callback<relay::context_event_batch> done) override
+    {
+        ++asked;
+        if (m_waiting == m_options.simultaneousCalls) {
+            ++refused;
+            m_timers.runAfter(
+                m_delay, [done] { done(base::notRun(base::error_reason::Overloaded, "busy")); });
+            return;
+        }
+        ++m_waiting;
+        poll(since, patience, std::move(done));
+    }
+    void list(const net::endpoint&, callback<relay::context_event_batch> done) override
+    {
+        ++lists;
+        m_timers.runAfter(m_delay, [this, done] {
+            relay::context_event_batch batch { .epoch = m_epoch, .next = m_events.size() };
+            for (const auto& [part, tokens] : parts)
+                batch.events.push_back({ .stored = true, .scope = "s", .partId = part, .tokens = tokens });
+            done(batch);
+        });
+    }
+    void free(
+        const net::endpoint&, std::uint64_t, const std::vector<relay::context_key>&, callback<void>) override
+    {
+    }
+
+private:
+    void poll(std::uint64_t since, base::duration patience, callback<relay::context_event_batch> done)
+    {
+        const bool isNew = since != m_events.size();
+        if (!down && !isNew && patience > base::duration::zero()) {
+            constexpr base::duration step = std::chrono::milliseconds(20);
+            m_timers.runAfter(step, [this, since, left = patience - step, done] { poll(since, left, done); });
+            return;
+        }
+        const std::uint64_t last = m_events.size();
+        const std::uint64_t first = last > keptEvents ? last - keptEvents : 0;
+        relay::context_event_batch batch { .epoch = m_epoch, .next = last, .lost = since < first };
+        for (std::uint64_t i = std::max(since, first); i < last; ++i)
+            batch.events.push_back(m_events[i]);
+        m_timers.runAfter(m_delay, [this, batch, done] {
+            --m_waiting;
+            if (down)
+                return done(base::mayHaveRun(base::error_reason::Unavailable, "down"));
+            done(batch);
+        });
+    }
+
+    base::scheduler& m_timers;
+    options m_options;
+    std::uint64_t m_epoch = 1;
+    int m_waiting = 0;
+    std::vector<relay::context_event> m_events;
+    base::duration m_delay = std::chrono::milliseconds(2);
+};
+
+} // namespace marigold::testing
