--- a/cmake/marigold.cmake
+++ b/cmake/marigold.cmake
@@ -71,6 +71,7 @@
     add_executable(platform_adapter_test ${sources} ${CMAKE_CURRENT_SOURCE_DIR}/support/main.cpp)
     target_include_directories(platform_adapter_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
     target_link_libraries(platform_adapter_test PRIVATE marigold_platform_adapter rapidcheck)
+    target_compile_definitions(platform_adapter_test PRIVATE MARIGOLD_SOURCE_ROOT="${CMAKE_SOURCE_DIR}")
     add_test(NAME platform_adapter COMMAND platform_adapter_test)
 endfunction()
 
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -44,7 +44,7 @@
     base::duration versionLimit = std::chrono::seconds(6);
     /// Retries, including sends that a target refused, that all processes may make beyond a share of the
     /// requests.
-    int retrySlack = 50;
+    double retrySlack = 50;
     double retryShare = 0.2;
     /// A cold target can serve its stated rate times this factor, plus the slack, within a second.
     double coldFactor = 1;
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -4,7 +4,10 @@
 
 namespace {
 
-constexpr double maxDurationMs = 600'000; // Longer durations are configuration errors.
+/// Limits of the platform are accepted in any size: a process that refuses to start is an outage.
+constexpr double maxDurationMs = 1e10;
+constexpr double maxCount = 1e15;
+constexpr double maxNameBytes = 128; // The name is part of a key of the platform's store.
 
 } // namespace
 
@@ -12,9 +15,9 @@
 {
     using settings::setting_format;
     reader.add("relay.process", &process,
-        { .description = "Name of this process.", .format = setting_format::Name, .required = true });
+        { .description = "Name of this process.", .maximum = maxNameBytes, .required = true });
     reader.add("relay.failure_domain", &failureDomain,
-        { .description = "Failure domain of the VM.", .format = setting_format::Name, .required = true });
+        { .description = "Failure domain of the VM; empty if there is only one.", .maximum = maxNameBytes });
     reader.add("relay.callers_address", &callersAddress,
         { .description = "Address for callers.", .format = setting_format::Endpoint, .required = true });
     reader.add("relay.peers_address", &peersAddress,
@@ -38,27 +41,28 @@
     reader.add("relay.version_limit_ms", &versionLimit,
         { .description = "Time after a change of the wanted weight version in which requests may start on "
                          "older weights.",
-            .minimum = 100,
+            .minimum = 0,
             .maximum = maxDurationMs });
     reader.add("relay.retry_slack", &retrySlack,
         { .description = "Retries within the budget window that all processes together may make "
                          "beyond the share of the requests.",
             .minimum = 0,
-            .maximum = 1'000'000 });
+            .maximum = maxCount });
     reader.add("relay.retry_share", &retryShare,
-        { .description = "Share of the requests that may be retried.", .minimum = 0, .maximum = 1 });
+        { .description = "Share of the requests that may be retried.", .minimum = 0, .maximum = maxCount });
     reader.add("relay.cold_factor", &coldFactor,
         { .description = "Multiple of its stated rate that a cold target can serve.",
-            .minimum = 0.1,
-            .maximum = 100 });
+            .minimum = 0,
+            .maximum = maxCount });
     reader.add("relay.cold_slack", &coldSlack,
         { .description = "Requests within a second that a cold target can serve beyond that multiple.",
             .minimum = 0,
-            .maximum = 10'000 });
-    reader.add("relay.drain_limit_ms", &drainLimit,
-        { .description = "Longest time that a graceful shutdown waits for running requests.",
+            .maximum = maxCount });
+    reader.add("relay.stop_grace_s", &stopGraceSeconds,
+        { .description = "Time from the stop signal until the platform kills the process.",
+            .unit = "s",
             .minimum = 0,
-            .maximum = maxDurationMs });
+            .maximum = maxCount });
     reader.add("store.address", &storeAddress,
         { .description = "Address of the platform's key-value service.",
             .format = setting_format::Endpoint,
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -10,7 +10,7 @@
 /// Settings of a relay process; sections `relay` and `store`.
 struct relay_settings {
     std::string process = {}; ///< Name of the VM or process; required.
-    std::string failureDomain = {}; ///< Required.
+    std::string failureDomain = {};
     std::string callersAddress = {}; ///< IP:PORT for callers; required.
     std::string peersAddress = {}; ///< IP:PORT for datagrams of the other processes; required.
     std::string metricsAddress = {}; ///< IP:PORT where metrics are served; required.
@@ -18,11 +18,11 @@
     bool targetsCheckTokens = false;
     std::chrono::milliseconds orderTakeoverDelay { 3000 };
     std::chrono::milliseconds versionLimit { 6000 };
-    std::int32_t retrySlack = 50;
+    double retrySlack = 50;
     double retryShare = 0.2;
     double coldFactor = 1.0;
     double coldSlack = 0;
-    std::chrono::milliseconds drainLimit { 7000 };
+    double stopGraceSeconds = 8;
     std::string storeAddress = {}; ///< IP:PORT of the key-value service; required.
     base::log_level logLevel = base::log_level::Info;
 
--- a/src/libs/relay/retry_budgets.h
+++ b/src/libs/relay/retry_budgets.h
@@ -14,7 +14,7 @@
     struct options {
         double share = 0.2; ///< Share of a service's requests that may be retried.
         /// Retries beyond that share that all processes together may make within the budget window.
-        int slack = 50;
+        double slack = 50;
         /// Share of both limits that is used. The rest covers requests and processes that are counted
         /// differently.
         double usedShare = 0.75;
--- a/src/libs/settings/setting.cpp
+++ b/src/libs/settings/setting.cpp
@@ -65,6 +65,20 @@
     return value;
 }
 
+/// Returns \a number for a setting of \a type with whole values if nothing is lost: an integer written with a
+/// fraction of zero, or a duration, which is rounded to milliseconds. Programs that generate settings may
+/// write any number as a fraction.
+std::optional<std::int64_t> wholeNumber(setting_type type, double number)
+{
+    constexpr double highestExact = 9007199254740992.0; // 2^53
+    const bool isExact = std::abs(number) < highestExact;
+    if (isExact && type == setting_type::Duration)
+        return std::llround(number);
+    if (isExact && type == setting_type::Integer && std::trunc(number) == number)
+        return static_cast<std::int64_t>(number);
+    return std::nullopt;
+}
+
 std::vector<std::string> splitList(std::string_view text)
 {
     std::vector<std::string> entries;
@@ -205,6 +219,9 @@
 {
     if (m_type == setting_type::Number && std::holds_alternative<std::int64_t>(value))
         value = static_cast<double>(std::get<std::int64_t>(value));
+    if (const auto* number = std::get_if<double>(&value))
+        if (const auto whole = wholeNumber(m_type, *number))
+            value = *whole;
     if (value.index() != m_default.index())
         return invalidValue(fmt::format("expected {}, found {}",
             m_type == setting_type::Duration ? "duration (integer, ms)" : nameOf(m_type), typeNameOf(value)));
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -3,6 +3,8 @@
 #include <relay/events.h>
 #include <relay/relay.h>
 
+#include <algorithm>
+#include <cmath>
 #include <csignal>
 
 #include <fmt/format.h>
@@ -17,6 +19,15 @@
         net::endpoint {}); // The format was checked when the settings were loaded.
 }
 
+/// Returns how long a graceful shutdown may take if the process is killed after \a graceSeconds.
+base::duration drainLimit(double graceSeconds)
+{
+    constexpr double marginSeconds = 1; // Covers the delay of the signal and the last answers.
+    constexpr double longestSeconds = 86'400;
+    const double limit = std::max(graceSeconds - marginSeconds, graceSeconds / 2);
+    return std::chrono::milliseconds(std::llround(1000 * std::min(limit, longestSeconds)));
+}
+
 relay::relay_options optionsOf(const relay::relay_settings& settings, base::random_source& random)
 {
     constexpr std::size_t incarnationBytes = 4;
@@ -33,7 +44,7 @@
         .retryShare = settings.retryShare,
         .coldFactor = settings.coldFactor,
         .coldSlack = settings.coldSlack,
-        .drainLimit = settings.drainLimit };
+        .drainLimit = drainLimit(settings.stopGraceSeconds) };
 }
 
 /// Returns the log line that reports how many lines were dropped.
