Divide the targets of large services among groups of relays

The digests went from all to all at 80 datagrams a second, so loads were 0.5 s old at 40 relays and 4.6 s at 370, longer than the 1.5 s after which they expire; warm targets were limited to one request a second from each relay. Ruled out: lowering the floor alone (a cold target is not found cold by all at once, and most relays would get nothing); one owner of each target that grants every send (a hop and a message for each request, and its targets are lost while it is frozen); fixed cells of relays (their load would not balance). Change: sender_groups puts each process into two groups and each target into one, by rendezvous hashing over the registered processes, so that 8 to 16 share a target on average; bounded_share divides a bound among them in whole numbers, the rest by rank, with a quarter of the bound left for processes that have lost the store and know it. Digests go every 50 ms or at 240 a second to those who share a group and list only what the receiver may use; the others get them at 80 a second. Registrations that lapse count for 2.5 s more. Connections and retry slack are divided likewise.

--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -7,24 +7,27 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigold::relay {
 
 /// Sends the unfinished work of this process to its peers and receives theirs, so that a target that is busy
-/// with requests of one process is not chosen by the others. Digests are hints: a lost one is replaced by the
-/// next.
+/// with requests of one process is not chosen by the others. A digest lists only targets that its receiver
+/// may use as well. Digests are hints: a lost one is replaced by the next.
 class load_exchange {
 public:
     struct options {
         std::string process;
-        /// Time between two digests while there are few peers.
+        /// Time between two digests to the processes that share targets with this one, if they are few.
         base::duration interval = std::chrono::milliseconds(50);
-        /// With more peers, digests only give the general load and are sent less often.
-        std::size_t maxPeersAtFullRate = 12;
-        /// Datagrams per second that this process sends when there are more peers.
-        double maxDatagramsPerSecond = 80;
+        /// Datagrams per second to those processes if they are many.
+        double maxDatagramsPerSecond = 240;
+        /// Datagrams per second to the other processes, with which only the targets of small services are
+        /// shared.
+        double maxOtherDatagramsPerSecond = 80;
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
@@ -41,13 +44,22 @@
 
 private:
     void publish();
+    std::vector<load_digest::entry> entriesFor(
+        std::string_view peer, std::span<const target_registry::own_load> loads) const;
+    void sendTo(const net::endpoint& address, std::vector<load_digest::entry> entries);
+    base::duration publishInterval() const;
+    base::duration roundTime(std::size_t datagramsPerRound, double perSecond) const;
 
     target_registry& m_targets;
     base::scheduler& m_timers;
     sender m_send;
     options m_options;
     std::uint64_t m_sequence = 0;
-    std::map<std::string, net::endpoint> m_peers;
+    std::map<std::string, net::endpoint> m_peers; ///< All others.
+    std::vector<std::string> m_groupPeers; ///< Those that share a group of targets with this process.
+    std::vector<std::string> m_otherPeers;
+    std::size_t m_nextOther = 0; ///< Next of `m_otherPeers` to which a digest is due.
+    double m_otherCredit = 0; ///< Digests that may be sent to `m_otherPeers`, as a fraction.
     std::map<std::string, std::uint64_t, std::less<>> m_lastSequence;
 };
 
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -20,6 +20,10 @@
 constexpr base::duration pauseThreshold = std::chrono::milliseconds(700);
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
+/// Time for which a process still counts as a sender after its registration has ended. A running process
+/// registers again within it after an outage of the store.
+constexpr base::duration missingProcessGrace = std::chrono::milliseconds(2500);
+
 } // namespace
 
 relay_server::relay_server(net::event_loop& loop, const base::clock& time, const base::event_log& log,
@@ -31,7 +35,8 @@
     , m_options(std::move(opts))
     , m_pool(loop, time, {})
     , m_targets(time,
-          { .failureDomain = m_options.failureDomain,
+          { .process = m_options.process,
+              .failureDomain = m_options.failureDomain,
               .coldFactor = m_options.coldFactor,
               .coldSlack = m_options.coldSlack })
     , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
@@ -39,7 +44,8 @@
     , m_waitQueue(loop, time, {})
     , m_metrics(ports.metrics)
     , m_store(ports.store, m_metrics)
-    , m_retryBudgets({ .share = m_options.retryShare, .slack = m_options.retrySlack })
+    , m_retryBudgets(
+          { .process = m_options.process, .share = m_options.retryShare, .slack = m_options.retrySlack })
     , m_services { .loop = loop,
         .clock = time,
         .random = m_random,
@@ -143,7 +149,7 @@
         .waiting = m_waitQueue.size(),
         .requests = m_sessions.size(),
         .callers = m_callers.connections(),
-        .processes = m_targets.processes(),
+        .processes = static_cast<int>(m_processes.size()),
         .holdsOrderLease = m_lease.mayOrder(),
         .storeReachable = m_follower.isReachable(),
         .loopLag = std::exchange(m_loopLag, base::duration::zero()) };
@@ -154,6 +160,8 @@
 void relay_server::runHousekeeping()
 {
     m_targets.removeExpired();
+    removeMissingProcesses();
+    m_targets.setIsolated(!m_follower.isReachable());
     m_rollout.step();
     m_contextReclaimer.sweep();
 }
@@ -202,12 +210,24 @@
 
 void relay_server::applyProcesses()
 {
-    m_targets.setProcesses(static_cast<int>(m_processes.size()));
-    m_retryBudgets.setProcesses(static_cast<int>(m_processes.size()));
+    std::vector<std::string_view> ids;
+    for (const auto& [id, address] : m_processes)
+        ids.push_back(id);
+    for (const auto& [id, since] : m_missingProcesses)
+        ids.push_back(id);
+    m_targets.setProcesses(ids);
+    m_retryBudgets.setProcesses(ids);
     m_loadExchange.setPeers(m_processes);
     m_contextDistributor.setProcesses(m_processes);
 }
 
+void relay_server::removeMissingProcesses()
+{
+    const base::time_point limit = m_clock.now() - missingProcessGrace;
+    if (std::erase_if(m_missingProcesses, [limit](const auto& entry) { return entry.second <= limit; }) > 0)
+        applyProcesses();
+}
+
 void relay_server::datagramReceived(std::string_view bytes)
 {
     // Datagrams are hints, and the port is open to any sender: invalid ones are ignored without a log line.
@@ -252,7 +272,9 @@
     {
         if (process.address)
             self.m_processes.insert_or_assign(process.id, *process.address);
-        self.applyProcesses();
+        self.m_missingProcesses.erase(process.id);
+        if (!self.m_replacing)
+            self.applyProcesses();
     }
 
     void operator()(const order_lease& lease) const { self.m_lease.leaseObserved(lease); }
@@ -272,7 +294,8 @@
         m_excluded.erase(excluded->failureDomain);
         applyExcluded();
     } else if (const auto* process = std::get_if<running_process>(&item)) {
-        m_processes.erase(process->id);
+        if (m_processes.erase(process->id) > 0)
+            m_missingProcesses.emplace(process->id, m_clock.now());
         applyProcesses();
     } else if (std::holds_alternative<order_lease>(item)) {
         m_lease.leaseObserved({});
@@ -282,15 +305,18 @@
 void relay_server::replaced(const std::vector<state_item>& present)
 {
     m_excluded.clear();
-    m_processes.clear();
+    for (const auto& [id, address] : std::exchange(m_processes, {}))
+        m_missingProcesses.emplace(id, m_clock.now());
     bool leaseHeld = false;
     std::vector<std::string> targets;
+    m_replacing = true;
     for (const state_item& item : present) {
         changed(item);
         leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
         if (const auto* target = std::get_if<target_registration>(&item))
             targets.push_back(target->id);
     }
+    m_replacing = false;
     m_targets.retainTargets(targets);
     applyExcluded();
     applyProcesses();
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -86,6 +86,7 @@
     void setConfig(std::shared_ptr<const relay_config> config);
     void applyExcluded();
     void applyProcesses();
+    void removeMissingProcesses();
     void runHousekeeping();
     void checkResponsiveness();
     void finishDrainIfIdle();
@@ -118,6 +119,10 @@
     context_reclaimer m_contextReclaimer;
     std::set<std::string, std::less<>> m_excluded;
     std::map<std::string, net::endpoint> m_processes;
+    /// Processes that are no longer registered, with the time since when. They still count as senders for a
+    /// while: registrations lapse in an outage of the store although the processes run.
+    std::map<std::string, base::time_point, std::less<>> m_missingProcesses;
+    bool m_replacing = false; ///< A whole snapshot is being applied; its processes are applied at its end.
     std::unordered_map<relay_session*, std::unique_ptr<relay_session>> m_sessions;
     net::udp_socket m_datagrams;
     load_exchange m_loadExchange;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -234,7 +234,7 @@
 bool relay_session::send(target_record& target)
 {
     m_connection = m_services.pool.acquire(target.registration.address, mayRepeat(),
-        std::max<std::size_t>(1, m_service->maxConnections / (m_services.targets.processes() + 1)));
+        std::max<std::size_t>(1, m_service->maxConnections / (target.senders + 1)));
     if (!m_connection)
         return false;
     const auto versions = target.registration.weightVersions;
--- a/src/libs/relay/retry_budgets.h
+++ b/src/libs/relay/retry_budgets.h
@@ -3,8 +3,10 @@
 #include <routing/routing.h>
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigold::relay {
 
@@ -12,6 +14,7 @@
 class retry_budgets {
 public:
     struct options {
+        std::string process = {};
         double share = 0.2; ///< Share of a service's requests that may be retried.
         /// Retries beyond that share that all processes together may make within the budget window.
         double slack = 50;
@@ -22,16 +25,17 @@
 
     explicit retry_budgets(options opts);
 
-    /// Sets the number of processes that divide the slack among them.
-    void setProcesses(int processes);
+    /// Sets the registered processes by id, which divide the slack among them.
+    void setProcesses(std::span<const std::string_view> processes);
 
     routing::retry_budget& budgetFor(std::string_view service);
 
 private:
-    int capacity() const;
+    int initial(std::string_view service) const;
+    int capacity(std::string_view service) const;
 
     options m_options;
-    int m_processes = 1;
+    std::vector<std::string> m_others; ///< Ids of the other registered processes.
     std::map<std::string, routing::retry_budget, std::less<>> m_budgets;
 };
 
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -31,9 +31,50 @@
           = [this](routing::target_index target, bool ejected) { m_table.setEjected(target, ejected); } })
     , m_router(
           m_table, m_random, { .candidates = routing::route_decision::capacity, .samples = 12 }, &m_outliers)
+    , m_groups({ .process = m_options.process })
 {
 }
 
+std::size_t target_registry::groupCountOf(std::string_view service) const
+{
+    const auto count = m_counts.find(service);
+    return m_groups.groupCount(count == m_counts.end() ? 0 : static_cast<std::size_t>(count->second));
+}
+
+void target_registry::assign(target_record& target)
+{
+    const std::size_t groups = groupCountOf(target.registration.service);
+    const std::size_t group = sender_groups::groupOf(target.hash, groups);
+    target.assigned = m_groups.isMember(group, groups);
+    if (target.assigned) {
+        target.senders = m_groups.memberCount(group, groups);
+        target.rank = m_groups.rankOf(target.hash, group, groups);
+    }
+    m_table.setListed(target.index, target.assigned);
+}
+
+void target_registry::assignAll(std::string_view service)
+{
+    for (const auto& [id, target] : m_targets)
+        if (target->registration.service == service)
+            assign(*target);
+}
+
+void target_registry::countTarget(std::string_view service, int change)
+{
+    const std::size_t before = groupCountOf(service);
+    m_counts[std::string(service)] += change;
+    if (groupCountOf(service) != before)
+        assignAll(service);
+}
+
+void target_registry::setProcesses(std::span<const std::string_view> processes)
+{
+    m_groups.setProcesses(processes);
+    for (const auto& [id, target] : m_targets)
+        assign(*target);
+}
+
 routing::target_info target_registry::infoOf(const target_registration& registration) const
 {
     const auto& versions = registration.weightVersions;
@@ -79,6 +120,8 @@
     m_outliers.add(held->index, registration.service);
     held->hash = base::hash64(registration.id);
     m_byHash[held->hash] = held.get();
+    countTarget(registration.service, 1);
+    assign(*held);
     publishLoad(*held);
 }
 
@@ -94,6 +137,7 @@
     m_byIndex[target->index] = nullptr;
     m_byHash.erase(target->hash);
     m_targets.erase(found);
+    countTarget(target->registration.service, -1);
 }
 
 void target_registry::retainTargets(const std::vector<std::string>& present)
@@ -179,10 +223,13 @@
         return true;
     const base::time_point now = m_clock.now();
     const double stated = service->coldRequestsPerSecond;
-    const send_rate_share share { .targetPerSecond
-        = stated > 0 ? stated * m_options.coldFactor + m_options.coldSlack : 0,
-        .processes = m_processes,
-        .cold = now < target.coldUntil };
+    const send_rate_share share {
+        .target = { .bound = stated > 0 ? stated * m_options.coldFactor + m_options.coldSlack : 0,
+            .processes = target.senders,
+            .rank = target.rank,
+            .isolated = m_isolated },
+        .cold = now < target.coldUntil,
+    };
     return target.sendLimiter.allows(share.perSecond(), now);
 }
 
@@ -246,12 +293,17 @@
     publishLoad(target);
 }
 
-std::vector<load_digest::entry> target_registry::ownLoads() const
+std::vector<target_registry::own_load> target_registry::ownLoads() const
 {
-    std::vector<load_digest::entry> loads;
-    for (const auto& [id, target] : m_targets)
-        if (target->own != target_load {})
-            loads.push_back({ .target = target->hash, .load = target->own });
+    std::vector<own_load> loads;
+    for (const auto& [id, target] : m_targets) {
+        if (target->own == target_load {})
+            continue;
+        const std::size_t groups = groupCountOf(target->registration.service);
+        loads.push_back({ .entry = { .target = target->hash, .load = target->own },
+            .group = sender_groups::groupOf(target->hash, groups),
+            .groups = groups });
+    }
     return loads;
 }
 
@@ -369,7 +421,7 @@
     for (const auto& [id, target] : m_targets) {
         const auto& versions = target->registration.weightVersions;
         const auto found = versions.find(std::string(model));
-        if (target->registration.service != service || found == versions.end())
+        if (target->registration.service != service || !target->assigned || found == versions.end())
             continue;
         ++all;
         reached += found->second >= version ? 1 : 0;
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -3,12 +3,14 @@
 #include "load_digest.h"
 #include "relay_config.h"
 #include "send_rate_limiter.h"
+#include "sender_groups.h"
 #include "wire_dialect.h"
 
 #include <routing/routing.h>
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,6 +25,9 @@
     base::time_point coldUntil {};
     send_rate_limiter sendLimiter;
     std::uint64_t hash = 0; ///< Hash of the id; identifies the target in digests.
+    bool assigned = true; ///< This process may send requests to the target.
+    std::size_t senders = 1; ///< Number of processes that may, including this one.
+    std::size_t rank = 0; ///< Number of those that precede this process where the bound is small.
     target_load own; ///< Unfinished work of this process.
     target_load peers; ///< Unfinished work of the other processes, as last reported.
     /// Moving average over prompts with no other prefill ahead of them; 0 if unknown.
@@ -37,6 +42,7 @@
 class target_registry {
 public:
     struct options {
+        std::string process = {};
         std::string failureDomain = {}; ///< Failure domain of this process.
         /// A cold target can serve its stated rate times this factor, plus the slack, within a second.
         double coldFactor = 1;
@@ -76,9 +82,12 @@
     void setConfig(std::shared_ptr<const relay_config> config);
     void setExcludedDomains(const std::vector<std::string>& domains) { m_table.setExcludedDomains(domains); }
 
-    /// Sets the number of processes that send to the targets.
-    void setProcesses(int processes) { m_processes = std::max(processes, 1); }
-    int processes() const { return m_processes; }
+    /// Sets the registered processes by id and divides the targets among them.
+    void setProcesses(std::span<const std::string_view> processes);
+    const sender_groups& groups() const { return m_groups; }
+
+    /// Sets whether this process has lost contact with the platform's store, so that others may not count it.
+    void setIsolated(bool isolated) { m_isolated = isolated; }
 
     target_record* record(routing::target_index index);
     const std::map<std::string, std::shared_ptr<target_record>, std::less<>>& targets() const
@@ -109,8 +118,19 @@
     /// requests to it.
     void setLoading(target_record& target, bool loading);
 
+    /// Unfinished work of this process at one target.
+    struct own_load {
+        load_digest::entry entry;
+        std::size_t group = 0; ///< Group of the target, and the number of groups of its service.
+        std::size_t groups = 1;
+    };
+
     /// Returns the unfinished work of this process at each target that has any.
-    std::vector<load_digest::entry> ownLoads() const;
+    std::vector<own_load> ownLoads() const;
+
+    /// Sets the time after which load reported by a peer expires; it follows from the interval of the
+    /// reports.
+    void setPeerLoadTimeout(base::duration timeout) { m_options.peerLoadTimeout = timeout; }
 
     /// Sets the unfinished work of \a process and replaces what it reported before.
     void setPeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads);
@@ -145,7 +165,8 @@
     /// Returns the oldest version at any target, by model. Draining targets are ignored.
     std::map<std::string, int> oldestVersions() const;
 
-    /// Returns the share of the targets of \a service that have at least \a version of \a model.
+    /// Returns the share of the targets of \a service to which this process sends that have at least
+    /// \a version of \a model.
     double shareWithVersion(std::string_view service, std::string_view model, int version) const;
 
     routing::router& router() { return m_router; }
@@ -153,6 +174,10 @@
 
 private:
     routing::target_info infoOf(const target_registration& registration) const;
+    std::size_t groupCountOf(std::string_view service) const;
+    void assign(target_record& target);
+    void assignAll(std::string_view service);
+    void countTarget(std::string_view service, int change);
     bool hasCapacity(const target_record& target, const target_load& work) const;
     double prefillTokensPerSecondOf(const target_record& target) const;
     void recordVersions(const target_registration& registration);
@@ -167,7 +192,9 @@
     routing::outlier_detector m_outliers;
     routing::router m_router;
     std::shared_ptr<const relay_config> m_config;
-    int m_processes = 1;
+    sender_groups m_groups;
+    bool m_isolated = false;
+    std::map<std::string, int, std::less<>> m_counts; ///< Number of targets by service.
     std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_newest; ///< By service.
     std::map<std::string, std::shared_ptr<target_record>, std::less<>> m_targets;
     std::vector<std::shared_ptr<target_record>> m_byIndex;
--- a/src/libs/routing/target_table.cpp
+++ b/src/libs/routing/target_table.cpp
@@ -66,6 +66,19 @@
     updateBlocked(target);
 }
 
+void target_table::setListed(target_index target, bool listed)
+{
+    record& entry = m_records[target];
+    if (entry.removed || entry.listed == listed)
+        return;
+    if (entry.listed)
+        unlink(target);
+    entry.listed = listed;
+    if (entry.listed)
+        link(target);
+    updateBlocked(target);
+}
+
 void target_table::setEjected(target_index target, bool ejected)
 {
     m_records[target].ejected = ejected;
@@ -179,8 +192,8 @@
     // decide.
     const bool isRemoteUnreachable
         = entry.state == target_state::Unreachable && entry.near == proximity::OtherRegion;
-    const bool out
-        = entry.removed || entry.outOfService || entry.domainExcluded || stopped || isRemoteUnreachable;
+    const bool out = entry.removed || !entry.listed || entry.outOfService || entry.domainExcluded || stopped
+        || isRemoteUnreachable;
     m_blocked[target]
         = static_cast<std::uint8_t>((out ? outOfServiceBit : 0) | (entry.ejected ? ejectedBit : 0));
 }
@@ -196,6 +209,8 @@
 void target_table::link(target_index target)
 {
     const record& entry = m_records[target];
+    if (!entry.listed)
+        return;
     membersFor(entry).push_back({ .seed = base::hash64(entry.info.id), .index = target });
 }
 
--- a/src/libs/routing/target_table.h
+++ b/src/libs/routing/target_table.h
@@ -108,6 +108,10 @@
     /// Takes a single target out of service or back into service, on request of an operator.
     void setOutOfService(target_index target, bool outOfService);
 
+    /// Sets whether requests of this process may be sent to \a target at all. One that is not listed is in no
+    /// group, so that a decision does not scan it.
+    void setListed(target_index target, bool listed);
+
     /// Marks a target as ejected or reinstated by the outlier detector.
     void setEjected(target_index target, bool ejected);
 
@@ -163,6 +167,7 @@
         target_state state = target_state::Serving;
         proximity near = proximity::OtherRegion;
         bool outOfService = false;
+        bool listed = true;
         bool ejected = false;
         bool domainExcluded = false;
         bool removed = false;
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -17,7 +17,7 @@
 
 struct fixture {
     base::manual_clock clock;
-    target_registry targets { clock, { .failureDomain = "d0" } };
+    target_registry targets { clock, { .process = "p0", .failureDomain = "d0" } };
     target_chooser chooser { clock, targets, {} };
     int prompts = 0;
 
@@ -233,7 +233,8 @@
     // Guards against overloading a cold target (users' rule FAILBACK).
     constexpr double bound = 20;
     fixture f(1, bound);
-    f.targets.setProcesses(3);
+    const std::vector<std::string_view> processes { "p0", "p1", "p2" };
+    f.targets.setProcesses(processes);
     auto cold = fixture::registration(0);
     cold.coldFor = std::chrono::seconds(5);
     f.targets.put(cold);
--- a/tests/libs/relay/small_parts_test.cpp
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -63,14 +63,20 @@
     CHECK(rc::check("cold", [] {
         const int processes = *rc::gen::inRange(1, 12);
         const double bound = *rc::gen::inRange(14, 60);
-        const send_rate_share share { .targetPerSecond = bound, .processes = processes, .cold = true };
+        const auto shareOf = [&](std::size_t rank) {
+            return send_rate_share {
+                .target = { .bound = bound, .processes = static_cast<std::size_t>(processes), .rank = rank },
+                .cold = true,
+            };
+        };
         std::vector<send_rate_limiter> limiters(static_cast<std::size_t>(processes));
         std::vector<base::time_point> sent;
         base::time_point now {};
         for (int i = 0; i < 400; ++i) {
             now += base::duration(*rc::gen::inRange(0, 20'000));
-            send_rate_limiter& limiter = limiters[*rc::gen::inRange<std::size_t>(0, limiters.size())];
-            if (!limiter.allows(share.perSecond(), now))
+            const auto process = *rc::gen::inRange<std::size_t>(0, limiters.size());
+            send_rate_limiter& limiter = limiters[process];
+            if (!limiter.allows(shareOf(process).perSecond(), now))
                 continue;
             limiter.recordSend(now);
             sent.push_back(now);
@@ -90,12 +96,17 @@
     CHECK(rc::check("budget", [] {
         constexpr double share = 0.2;
         constexpr int slack = 54;
-        const int processes = *rc::gen::inRange(1, 40);
+        const int processes = *rc::gen::inRange(1, 400);
         const int requests = *rc::gen::inRange(0, 4000);
+        std::vector<std::string> ids;
+        for (int process = 0; process < processes; ++process)
+            ids.push_back("p" + std::to_string(process));
+        const std::vector<std::string_view> view(ids.begin(), ids.end());
         int sentAgain = 0;
         for (int process = 0; process < processes; ++process) {
-            retry_budgets budgets({ .share = share, .slack = slack });
-            budgets.setProcesses(processes);
+            retry_budgets budgets(
+                { .process = ids[static_cast<std::size_t>(process)], .share = share, .slack = slack });
+            budgets.setProcesses(view);
             for (int i = 0; i < requests / processes; ++i) {
                 budgets.budgetFor("svc").addRequest();
                 while (budgets.budgetFor("svc").tryRetry())
