Cut off bytes that are no answer and have no end

Read and shown by a scripted target: interim answers, an answer to another request, a refusal or a failure without end held the request until its time limit (a refusal although it had told 'not run' with its head), a head that came byte by byte did so too, and an event without end in a stream that may be resumed was collected without limit. Ruled out: headers, chunk extensions and trailers at full speed end by the parser's limits; an answer without a length is forwarded in bounded memory (256 KB before the target is paused) and ends at the time limit without appearing complete. Change: what comes before an answer is limited to 256 KB, and one head or discarded answer to 2 s from its first byte; the body of a refusal or failure is discarded for 100 ms or 256 KB; one event is limited to 1 MB. The scanner of events searches only new bytes.

--- a/src/libs/relay/event_scanner.cpp
+++ b/src/libs/relay/event_scanner.cpp
@@ -6,13 +6,18 @@
 
 namespace {
 
-/// Returns the position after the last blank line of \a text; zero if there is none.
-std::size_t endOfLastEvent(std::string_view text)
+/// Returns the position after the last blank line of \a text; zero if there is none. No blank line ends
+/// before \a searched.
+std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
 {
-    const std::size_t plain = text.rfind("\n\n");
-    const std::size_t withCarriageReturns = text.rfind("\r\n\r\n");
-    const std::size_t first = plain == std::string_view::npos ? 0 : plain + 2;
-    const std::size_t second = withCarriageReturns == std::string_view::npos ? 0 : withCarriageReturns + 4;
+    constexpr std::size_t longestBlankLine = 4;
+    const std::size_t from = searched - std::min(searched, longestBlankLine - 1);
+    const std::string_view added = text.substr(from);
+    const std::size_t plain = added.rfind("\n\n");
+    const std::size_t withCarriageReturns = added.rfind("\r\n\r\n");
+    const std::size_t first = plain == std::string_view::npos ? 0 : from + plain + 2;
+    const std::size_t second
+        = withCarriageReturns == std::string_view::npos ? 0 : from + withCarriageReturns + 4;
     return std::max(first, second);
 }
 
@@ -20,8 +25,9 @@
 
 std::string event_scanner::feed(std::string_view chunk)
 {
+    const std::size_t searched = m_partial.size();
     m_partial += chunk;
-    const std::size_t end = endOfLastEvent(m_partial);
+    const std::size_t end = endOfLastEvent(m_partial, searched);
     std::string complete = m_partial.substr(0, end);
     m_partial.erase(0, end);
     updateLastId(complete);
--- a/src/libs/relay/event_scanner.h
+++ b/src/libs/relay/event_scanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -16,6 +17,9 @@
     /// Returns the id of the last complete event that had one.
     const std::string& lastId() const { return m_lastId; }
 
+    /// Returns the size of the partial event.
+    std::size_t partialBytes() const { return m_partial.size(); }
+
     /// Discards the bytes of a partial event.
     void dropPartial() { m_partial.clear(); }
 
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -46,6 +46,7 @@
 relay_session::~relay_session()
 {
     m_services.loop.cancel(m_deadlineTimer);
+    m_services.loop.cancel(m_discardTimer);
 }
 
 void relay_session::start()
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -69,6 +69,8 @@
     std::string requestText(const target_record& target) const;
     void releaseTarget();
     void attemptFailed(const base::error& failure);
+    void scheduleDiscardEnd(base::duration delay);
+    void endlessEvent();
     bool mayRetry(base::verdict verdict) const;
     void beginForwarding();
     void sendOwnAnswer(int status, base::duration retryAfter, std::string_view reason);
@@ -118,6 +120,8 @@
     base::verdict m_verdict = base::verdict::NotRun; ///< Combined verdict of all attempts.
 
     answer_state m_answer = answer_state::None;
+    std::size_t m_discardedBytes = 0;
+    base::timer_id m_discardTimer = 0; ///< Ends an answer whose body is discarded.
     message_head m_answerHead;
     std::string m_collected;
     event_scanner m_events;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -17,6 +17,14 @@
 /// Limit of the sends of one request, including those that a target refused without running the request.
 constexpr int maxSends = 4;
 
+/// Time for the body of an answer that is discarded. Its head has told the outcome, and another attempt
+/// waits; the body may have no end.
+constexpr base::duration discardTimeout = std::chrono::milliseconds(100);
+constexpr std::size_t maxDiscardedBytes = 256 << 10;
+
+/// Limit of one event of a stream that can be resumed: its bytes are kept until the event is complete.
+constexpr std::size_t maxEventBytes = 1 << 20;
+
 } // namespace
 
 bool relay_session::answerBegins(const message_head& head)
@@ -30,6 +38,7 @@
         m_services.targets.observeVersion(*m_target, m_request.model, *answer.weightVersion);
     if (answer.notRun || head.status == http_status::misdirectedRequest) {
         m_answer = answer_state::Refused;
+        scheduleDiscardEnd(discardTimeout);
         // The usual cause is that the target has loaded newer weights since its last answer.
         if (head.status == http_status::misdirectedRequest && !answer.weightVersion)
             m_services.targets.observeVersion(*m_target, m_request.model,
@@ -39,10 +48,12 @@
     const bool success = head.status >= http_status::ok && head.status < http_status::multipleChoices;
     if (answer.encoded || (success && !answer.authentic)) {
         m_answer = answer_state::Failed;
+        scheduleDiscardEnd(discardTimeout);
         return true;
     }
     if (head.status >= http_status::serverError && mayRetry(base::verdict::Ran)) {
         m_answer = answer_state::Failed;
+        scheduleDiscardEnd(discardTimeout);
         return true;
     }
     const bool stream = m_route->kind == request_kind::Stream && head.status < http_status::badRequest;
@@ -79,8 +90,12 @@
     }
     switch (m_answer) {
     case answer_state::None:
+        return;
     case answer_state::Refused:
     case answer_state::Failed:
+        if (m_discardedBytes <= maxDiscardedBytes && m_discardedBytes + chunk.size() > maxDiscardedBytes)
+            scheduleDiscardEnd(base::duration::zero());
+        m_discardedBytes += chunk.size();
         return;
     case answer_state::Collecting:
         m_collected += chunk;
@@ -90,9 +105,11 @@
         }
         return;
     case answer_state::Forwarding:
-        if (m_route->resumable)
+        if (m_route->resumable) {
             m_caller->writeChunk(m_events.feed(chunk));
-        else
+            if (m_events.partialBytes() > maxEventBytes)
+                return endlessEvent();
+        } else
             m_caller->writeChunk(chunk);
         if (m_caller && m_connection && m_caller->pendingBytes() > caller_connection::highWaterBytes)
             m_connection->setPaused(true);
@@ -100,6 +117,31 @@
     }
 }
 
+void relay_session::scheduleDiscardEnd(base::duration delay)
+{
+    m_services.loop.cancel(m_discardTimer);
+    m_discardTimer = m_services.loop.runAfter(delay, [this] {
+        m_discardTimer = 0;
+        m_connection->cancel();
+        answerEnds();
+    });
+}
+
+void relay_session::endlessEvent()
+{
+    m_events.dropPartial();
+    m_answer = answer_state::Failed;
+    // The connection is parsing the bytes of this event and cannot be closed before it returns.
+    m_services.loop.cancel(m_discardTimer);
+    m_discardTimer = m_services.loop.runAfter(base::duration::zero(), [this] {
+        m_discardTimer = 0;
+        m_connection->cancel();
+        answerFails({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Unavailable,
+            .message = "event without end" });
+    });
+}
+
 void relay_session::callerWritable()
 {
     if (m_connection)
@@ -110,6 +152,8 @@
 {
     if (!m_target)
         return;
+    m_services.loop.cancel(std::exchange(m_discardTimer, 0));
+    m_discardedBytes = 0;
     if (std::exchange(m_transfersInFlight, false))
         m_services.context.planFinished(m_context, std::nullopt);
     m_services.targets.requestFinished(*m_target, m_work, now() - m_sentAt);
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -88,6 +88,7 @@
 target_connection::~target_connection()
 {
     m_loop.cancel(m_connectTimer);
+    stopPreambleTimer();
     if (m_events)
         bufferevent_free(m_events);
 }
@@ -95,7 +96,8 @@
 void target_connection::send(std::string_view request, answer_handler& handler)
 {
     m_handler = &handler;
-    m_skippingAnswer = m_foreignAnswerSeen = false;
+    m_skippingAnswer = m_foreignAnswerSeen = m_ownAnswerBegun = false;
+    m_preambleBytes = 0;
     m_parser.reset();
     if (m_events)
         bufferevent_write(m_events, request.data(), request.size());
@@ -155,6 +157,22 @@
     m_keepAlive = keepAliveTimeout(head.headers);
     m_skippingAnswer = !m_handler->answerBegins(head);
     m_foreignAnswerSeen = m_foreignAnswerSeen || m_skippingAnswer;
+    m_ownAnswerBegun = !m_skippingAnswer;
+    if (m_ownAnswerBegun)
+        stopPreambleTimer();
+}
+
+bool target_connection::preambleWithinLimits(std::size_t newBytes)
+{
+    if (m_ownAnswerBegun)
+        return true;
+    m_preambleBytes += newBytes;
+    if (m_preambleTimer == 0)
+        m_preambleTimer = m_loop.runAfter(m_options.preambleTimeout, [this] {
+            m_preambleTimer = 0;
+            fail("answer head not complete in time");
+        });
+    return m_preambleBytes <= m_options.maxPreambleBytes;
 }
 
 void target_connection::parse()
@@ -171,6 +189,8 @@
         if (!m_events)
             return;
         evbuffer_drain(input, used);
+        if (!preambleWithinLimits(used))
+            return fail("too many bytes before the answer");
         if (progress == message_parser::progress::NeedMore)
             continue;
         if (progress != message_parser::progress::Complete)
@@ -179,6 +199,7 @@
         if (!m_skippingAnswer)
             return answerCompleted();
         m_skippingAnswer = false;
+        stopPreambleTimer();
     }
 }
 
@@ -213,6 +234,7 @@
     if (!m_events)
         return;
     m_loop.cancel(std::exchange(m_connectTimer, 0));
+    stopPreambleTimer();
     bufferevent_free(std::exchange(m_events, nullptr));
     m_options.onClosed(*this);
 }
--- a/src/libs/relay/target_connection.h
+++ b/src/libs/relay/target_connection.h
@@ -41,6 +41,11 @@
         /// Time after which unacknowledged bytes or unanswered keep-alive probes end the connection. Without
         /// it, a network partition would block the request until its deadline.
         base::duration tcpTimeout = std::chrono::milliseconds(2500);
+        /// Limits of what a target may send before the head of the answer is complete, such as interim
+        /// answers or late answers to earlier requests; a target in trouble sends bytes without end.
+        std::size_t maxPreambleBytes = 256 << 10;
+        /// Time for one head, or for one answer that is discarded, from its first byte to its end.
+        base::duration preambleTimeout = std::chrono::seconds(2);
         /// Called when the connection has closed or must not be reused. It must be destroyed later, not
         /// inside the callback.
         std::function<void(target_connection&)> onClosed = {};
@@ -81,6 +86,8 @@
     void answerCompleted();
     void fail(std::string message);
     void close();
+    bool preambleWithinLimits(std::size_t newBytes);
+    void stopPreambleTimer() { m_loop.cancel(std::exchange(m_preambleTimer, 0)); }
 
     net::event_loop& m_loop;
     options m_options;
@@ -88,6 +95,9 @@
     message_parser m_parser;
     answer_handler* m_handler = nullptr;
     base::timer_id m_connectTimer = 0;
+    base::timer_id m_preambleTimer = 0;
+    std::size_t m_preambleBytes = 0; ///< Received for the current request before its own answer.
+    bool m_ownAnswerBegun = false; ///< The head of the answer to the current request has been accepted.
     bool m_connected = false;
     bool m_skippingAnswer = false; ///< The current answer belongs to another request.
     bool m_foreignAnswerSeen = false;
