Announce at once which targets load weights, and pause for a target that refused

A relay kept sending to a target that had just refused. Ruled out: full engines (no refusals outside the rollouts); wrong versions (273 of 421). Change: the digests of a process whose targets begin or end to load go at once to all that share these targets, 2,000 a second at most; a target that refused with 503 gets no request of this process for 250 ms.

--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -10,6 +10,7 @@
     , m_send(std::move(send))
     , m_options(std::move(opts))
 {
+    m_targets.onLoadingChanged([this](const target_record& target) { loadingChanged(target); });
 }
 
 void load_exchange::start()
@@ -17,15 +18,15 @@
     publish();
 }
 
-base::duration load_exchange::roundTime(std::size_t datagramsPerRound, double perSecond) const
+base::duration load_exchange::roundTime(std::size_t datagramsPerRound, double perSecond)
 {
     const double seconds = static_cast<double>(datagramsPerRound) / perSecond;
-    return std::max(m_options.interval, base::duration(static_cast<std::int64_t>(seconds * 1e6)));
+    return base::duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
 base::duration load_exchange::publishInterval() const
 {
-    return roundTime(m_groupPeers.size(), m_options.maxDatagramsPerSecond);
+    return std::max(m_options.interval, roundTime(m_groupPeers.size(), m_options.maxDatagramsPerSecond));
 }
 
 void load_exchange::setPeers(std::map<std::string, net::endpoint> peers)
@@ -62,6 +63,35 @@
         encode({ .process = m_options.process, .sequence = m_sequence, .entries = std::move(entries) }));
 }
 
+void load_exchange::loadingChanged(const target_record& target)
+{
+    const auto [group, groups] = m_targets.groupOf(target);
+    for (const auto& [id, address] : m_peers)
+        if (m_targets.groups().isMember(id, group, groups))
+            m_urgentPeers.insert(id);
+    if (m_urgentPeers.empty() || std::exchange(m_urgentScheduled, true))
+        return;
+    // Orders are sent in batches; one digest announces those of a batch.
+    m_timers.runAfter(base::duration::zero(), [this] { publishUrgent(); });
+}
+
+void load_exchange::publishUrgent()
+{
+    const std::set<std::string> peers = std::exchange(m_urgentPeers, {});
+    ++m_sequence;
+    const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
+    for (const std::string& id : peers)
+        if (const auto peer = m_peers.find(id); peer != m_peers.end())
+            sendTo(peer->second, entriesFor(id, loads));
+    m_timers.runAfter(roundTime(peers.size(), m_options.maxUrgentDatagramsPerSecond), [this] {
+        m_urgentScheduled = false;
+        if (!m_urgentPeers.empty()) {
+            m_urgentScheduled = true;
+            publishUrgent();
+        }
+    });
+}
+
 void load_exchange::publish()
 {
     ++m_sequence;
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -28,6 +29,8 @@
         /// Datagrams per second to the other processes, with which only the targets of small services are
         /// shared.
         double maxOtherDatagramsPerSecond = 80;
+        /// Datagrams per second that announce which targets load weights.
+        double maxUrgentDatagramsPerSecond = 2000;
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
@@ -44,17 +47,21 @@
 
 private:
     void publish();
+    void loadingChanged(const target_record& target);
+    void publishUrgent();
     std::vector<load_digest::entry> entriesFor(
         std::string_view peer, std::span<const target_registry::own_load> loads) const;
     void sendTo(const net::endpoint& address, std::vector<load_digest::entry> entries);
     base::duration publishInterval() const;
-    base::duration roundTime(std::size_t datagramsPerRound, double perSecond) const;
+    static base::duration roundTime(std::size_t datagramsPerRound, double perSecond);
 
     target_registry& m_targets;
     base::scheduler& m_timers;
     sender m_send;
     options m_options;
     std::uint64_t m_sequence = 0;
+    std::set<std::string> m_urgentPeers; ///< Share a target that has begun or ended to load.
+    bool m_urgentScheduled = false;
     std::map<std::string, net::endpoint> m_peers; ///< All others.
     std::vector<std::string> m_groupPeers; ///< Those that share a group of targets with this process.
     std::vector<std::string> m_otherPeers;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -39,6 +39,8 @@
     if (answer.notRun || head.status == http_status::misdirectedRequest) {
         m_answer = answer_state::Refused;
         scheduleDiscardEnd(discardTimeout);
+        if (head.status == http_status::serviceUnavailable)
+            m_services.targets.refused(*m_target);
         // The usual cause is that the target has loaded newer weights since its last answer.
         if (head.status == http_status::misdirectedRequest && !answer.weightVersion)
             m_services.targets.observeVersion(*m_target, m_request.model,
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -216,7 +216,7 @@
 
 bool target_registry::canAccept(target_record& target, const target_load& work) const
 {
-    if (!hasCapacity(target, work))
+    if (m_clock.now() < target.pausedUntil || !hasCapacity(target, work))
         return false;
     const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     if (!service)
@@ -289,8 +289,16 @@
 
 void target_registry::setLoading(target_record& target, bool loading)
 {
-    target.own.loading = loading ? 1 : 0;
+    const int before = std::exchange(target.own.loading, loading ? 1 : 0);
     publishLoad(target);
+    if (before != target.own.loading && m_loadingChanged)
+        m_loadingChanged(target);
+}
+
+std::pair<std::size_t, std::size_t> target_registry::groupOf(const target_record& target) const
+{
+    const std::size_t groups = groupCountOf(target.registration.service);
+    return { sender_groups::groupOf(target.hash, groups), groups };
 }
 
 std::vector<target_registry::own_load> target_registry::ownLoads() const
@@ -299,10 +307,9 @@
     for (const auto& [id, target] : m_targets) {
         if (target->own == target_load {})
             continue;
-        const std::size_t groups = groupCountOf(target->registration.service);
-        loads.push_back({ .entry = { .target = target->hash, .load = target->own },
-            .group = sender_groups::groupOf(target->hash, groups),
-            .groups = groups });
+        const auto [group, groups] = groupOf(*target);
+        loads.push_back(
+            { .entry = { .target = target->hash, .load = target->own }, .group = group, .groups = groups });
     }
     return loads;
 }
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -8,12 +8,14 @@
 
 #include <routing/routing.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace marigold::relay {
@@ -23,6 +25,7 @@
     target_registration registration;
     routing::target_index index = routing::noTarget;
     base::time_point coldUntil {};
+    base::time_point pausedUntil {}; ///< Has refused a request; gets none until then.
     send_rate_limiter sendLimiter;
     std::uint64_t hash = 0; ///< Hash of the id; identifies the target in digests.
     bool assigned = true; ///< This process may send requests to the target.
@@ -61,6 +64,9 @@
         base::duration inactivityLimit = std::chrono::milliseconds(700);
         /// Requests per slot of a plain service. A value above one hides the network round trip.
         double plainOverbooking = 1.5;
+        /// Time for which a target gets no requests after it has refused one without running it: it is full
+        /// or loads weights, and its state is known here only with a delay.
+        base::duration refusalPause = std::chrono::milliseconds(250);
         /// Load reported by a peer expires after this time without an update: its requests have ended or are
         /// reported elsewhere.
         base::duration peerLoadTimeout = std::chrono::milliseconds(1500);
@@ -118,6 +124,18 @@
     /// requests to it.
     void setLoading(target_record& target, bool loading);
 
+    /// Sets a function that is called after each change by `setLoading`.
+    void onLoadingChanged(std::function<void(const target_record&)> changed)
+    {
+        m_loadingChanged = std::move(changed);
+    }
+
+    /// Records that \a target has refused a request without running it.
+    void refused(target_record& target) { target.pausedUntil = m_clock.now() + m_options.refusalPause; }
+
+    /// Returns the group of \a target and the number of groups of its service.
+    std::pair<std::size_t, std::size_t> groupOf(const target_record& target) const;
+
     /// Unfinished work of this process at one target.
     struct own_load {
         load_digest::entry entry;
@@ -207,6 +225,7 @@
     std::map<std::string, double, std::less<>> m_prefillTokensPerSecond; ///< Smoothed, by service.
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Mean tokens of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
+    std::function<void(const target_record&)> m_loadingChanged;
 };
 
 } // namespace marigold::relay
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -271,6 +271,19 @@
     CHECK(f.targets.canAccept(f.record(0), { .requests = 1, .prefillTokens = 100, .tokens = 200 }));
 }
 
+TEST_CASE("a target that has refused a request gets none for a moment")
+{
+    // Guards against requests that are all refused by a target that loads weights or is full, and whose
+    // retries use up the retry budget.
+    fixture f(2);
+    f.targets.refused(f.record(0));
+    CHECK(f.chosen(50) == std::set<std::string> { "t1" });
+    f.targets.refused(f.record(1));
+    CHECK(f.choose().outcome == placement_outcome::Busy);
+    f.clock.advance(std::chrono::milliseconds(300));
+    CHECK(f.chosen(50).size() == 2);
+}
+
 TEST_CASE("targets that are missing after an outage are kept for the grace period")
 {
     // Guards against refusing requests while targets register again, and against sending requests to a
