Give up a fetch of context that would end too late

A fetch had no limit, and 40 relays with at least one transfer each keep the queue of a store seconds long. Ruled out: load of the engines (they read a third of what they can). Change: a fetch carries the time at which it is given up for computing the context within the latency goal, on the platform's clock, which is estimated from the replies of the stores and passed on with their events. Test: remote_clock_test (never ahead, follows a clock that is set), header_dialect_test.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -96,6 +96,8 @@
     if (found == m_stores.end())
         return;
     store_record& store = found->second;
+    if (batch.clockMs)
+        m_platformClock.observe(*batch.clockMs, m_clock.now());
     // A missed event may have reported a freed part, which must not be fetched.
     if (batch.epoch != store.epoch || batch.lost)
         clear(store, address.text(), batch.epoch);
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay_config.h"
+#include "remote_clock.h"
 #include "transfer_window.h"
 #include "wire_dialect.h"
 
@@ -31,6 +32,7 @@
     std::uint64_t next = 0;
     bool lost = false; ///< Events before the first one are missing.
     std::vector<context_event> events = {};
+    std::optional<std::int64_t> clockMs = {}; ///< The platform's clock when the store replied.
 };
 
 /// Identifies a cached part: parts with the same id in different scopes are different parts.
@@ -99,6 +101,12 @@
     /// Removes parts that are being freed, so that they are not fetched any more.
     void removeParts(const net::endpoint& address, std::span<const context_key> keys);
 
+    /// Returns \a time by the clock of targets and stores, in milliseconds; empty if no store has told it.
+    std::optional<std::int64_t> platformTimeMs(base::time_point time) const
+    {
+        return m_platformClock.at(time);
+    }
+
     std::vector<net::endpoint> addresses() const;
     std::int64_t storedTokens(const net::endpoint& address) const;
     std::int64_t capacityTokens(const net::endpoint& address) const;
@@ -139,6 +147,7 @@
     const base::clock& m_clock;
     options m_options;
     double m_tokenBytes = 0;
+    remote_clock m_platformClock;
     std::map<std::string, store_record, std::less<>> m_stores; ///< By address.
     std::map<context_key, pending_save> m_pendingSaves;
 };
--- a/src/libs/relay/context_digest.cpp
+++ b/src/libs/relay/context_digest.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t fieldsPerEvent = 4;
 constexpr int notAList = -1; ///< Encoded instead of the chunk number of a list.
+constexpr std::int64_t noClock = 0; ///< Encoded instead of the time if the store did not tell it.
 constexpr int dropped = -1; ///< Encoded instead of the tokens of a removed part.
 
 } // namespace
@@ -31,7 +32,8 @@
             .batch = { .epoch = digest.batch.epoch,
                 // The entries of a list have no sequence numbers. All chunks describe the state at the number
                 // of the batch, so each of them carries it.
-                .next = last || digest.chunkNumber ? digest.batch.next : events[end - 1].sequence } };
+                .next = last || digest.chunkNumber ? digest.batch.next : events[end - 1].sequence,
+                .clockMs = digest.batch.clockMs } };
         if (digest.chunkNumber) {
             chunk.chunkNumber = static_cast<int>(out.size());
             chunk.isLastChunk = last;
@@ -65,7 +67,8 @@
     std::string bytes(1, contextDigestKind);
     json::to_msgpack(
         json::array({ digest.process, digest.store, digest.since, digest.chunkNumber.value_or(notAList),
-            digest.isLastChunk, digest.batch.epoch, digest.batch.next, scopes, std::move(fields) }),
+            digest.isLastChunk, digest.batch.epoch, digest.batch.next, scopes, std::move(fields),
+            digest.batch.clockMs.value_or(noClock) }),
         bytes);
     return bytes;
 }
@@ -78,6 +81,7 @@
         const json value = json::from_msgpack(bytes.substr(1));
         constexpr std::size_t scopesAt = 7;
         constexpr std::size_t fieldsAt = 8;
+        constexpr std::size_t clockAt = 9;
         context_digest digest { .process = value.at(0),
             .store = value.at(1),
             .since = value.at(2),
@@ -87,6 +91,9 @@
             digest.chunkNumber = chunk;
             digest.isLastChunk = value.at(4).get<bool>();
         }
+        // Relays of an earlier build do not send the time.
+        if (value.size() > clockAt && value.at(clockAt) != noClock)
+            digest.batch.clockMs = value.at(clockAt).get<std::int64_t>();
         const json& scopes = value.at(scopesAt);
         const json& fields = value.at(fieldsAt);
         for (std::size_t i = 0; i + fieldsPerEvent <= fields.size(); i += fieldsPerEvent) {
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -16,6 +16,12 @@
 /// recomputing the context costs the engines more than the wait costs the caller.
 constexpr double maxContextWaitShare = 0.35;
 
+/// Time left for other delays if a fetch is given up and the context is computed within the latency goal.
+constexpr base::duration fetchMargin = std::chrono::milliseconds(100);
+
+/// Shortest time for a fetch of a request that is late already; most take a tenth of it.
+constexpr base::duration shortestFetchTime = std::chrono::milliseconds(400);
+
 /// Longest wait for a target, as a multiple of the route's latency goal. After it, the request would hardly
 /// be served before its caller times out.
 constexpr double maxQueueTimeFactor = 2.0;
@@ -196,6 +202,14 @@
         busy ? "targets_busy" : "no_target");
 }
 
+base::time_point relay_session::fetchDeadline() const
+{
+    const target_load wholePrompt { .requests = 1, .prefillTokens = m_request.promptTokens };
+    const base::duration prefill = m_services.targets.idlePrefillTime(m_service->name, wholePrompt);
+    const base::time_point inTime = m_arrivedAt + m_route->latencyGoal - prefill - fetchMargin;
+    return std::max(inTime, now() + shortestFetchTime);
+}
+
 std::string relay_session::requestText(const target_record& target) const
 {
     const auto& versions = target.registration.weightVersions;
@@ -209,6 +223,7 @@
         fields.priority = urgency();
         fields.cacheScope = m_scope;
         fields.context = &m_context.plan;
+        fields.fetchUntilMs = m_services.context.platformTimeMs(fetchDeadline());
     }
     if (!m_events.lastId().empty())
         fields.resumeAfter = m_events.lastId();
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -66,6 +66,7 @@
     void logDispatch(const target_record& target, std::uint64_t weightVersion) const;
     bool send(target_record& target);
     target_load work() const;
+    base::time_point fetchDeadline() const;
     std::string requestText(const target_record& target) const;
     void releaseTarget();
     void attemptFailed(const base::error& failure);
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -62,6 +62,9 @@
     std::optional<int> priority = {}; ///< 0 is the most urgent.
     std::string_view cacheScope = {}; ///< Context is shared only within equal scopes.
     const context_plan* context = nullptr;
+    /// Time on the platform's clock at which a fetch that has not ended is given up for computing the
+    /// context.
+    std::optional<std::int64_t> fetchUntilMs = {};
     std::optional<std::string> resumeAfter = {}; ///< Id of the last event that was delivered.
 };
 
