Free context of replaced weights once no relay uses them

Ruled out: the speed of freeing (10,000 parts in a second); freeing as soon as weights are named (relays still use older ones, and their context saves reading). Change: a relay gives up older weights for good once half of the targets that it uses have newer ones (the newest version that half of them have, not only the newest named), tells so in its load digests, and the holder of the lease frees context older than what any registered relay still uses, after the same 1.5 s. A relay without the store learns from the targets. Test: context_reclaimer_test (silent and older processes hold it back), placement_test (weights given up are not used again; a process that was not told).

--- a/src/libs/relay/context_reclaimer.cpp
+++ b/src/libs/relay/context_reclaimer.cpp
@@ -31,7 +31,8 @@
 
 void context_reclaimer::sweep()
 {
-    for (const auto& [model, version] : m_targets.oldestVersions()) {
+    for (const auto& [model, oldestLoaded] : m_targets.oldestVersions()) {
+        const int version = std::max(oldestLoaded, m_targets.oldestVersionInUse(model));
         auto& complete = m_completeSince[model];
         complete.emplace(version, m_clock.now());
         // If a target with older weights has joined, newer versions are no longer complete.
--- a/src/libs/relay/context_reclaimer.h
+++ b/src/libs/relay/context_reclaimer.h
@@ -15,8 +15,8 @@
 class context_reclaimer {
 public:
     struct options {
-        /// Delay before context of replaced weights is freed once all targets have newer weights: the last
-        /// request on older weights may still be fetching.
+        /// Delay before context of replaced weights is freed once no process uses them any more or all
+        /// targets have newer ones: the last request on older weights may still be fetching.
         base::duration freeDelay = std::chrono::milliseconds(1500);
         std::size_t maxPartsPerCall = 200;
     };
@@ -39,7 +39,7 @@
     const base::clock& m_clock;
     const base::event_log& m_log;
     options m_options;
-    /// For each model, the versions that all targets have reached, and since when.
+    /// For each model, the versions that all targets have reached or all processes use, and since when.
     std::map<std::string, std::map<int, base::time_point>, std::less<>> m_completeSince;
 };
 
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -43,7 +43,13 @@
         numbers.push_back(item.load.loading);
     }
     std::string bytes(1, loadDigestKind);
-    json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers) }), bytes);
+    json versions = json::array();
+    for (const auto& [model, version] : digest.oldestInUse) {
+        versions.push_back(model);
+        versions.push_back(version);
+    }
+    json::to_msgpack(
+        json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions) }), bytes);
     return bytes;
 }
 
@@ -61,6 +67,11 @@
                     .prefillTokens = numbers.at(i + 2),
                     .tokens = numbers.at(i + 3),
                     .loading = numbers.at(i + 4) } });
+        // Relays of an earlier build do not send versions.
+        constexpr std::size_t versionsAt = 3;
+        const json versions = value.size() > versionsAt ? value.at(versionsAt) : json::array();
+        for (std::size_t i = 0; i + 1 < versions.size(); i += 2)
+            digest.oldestInUse[versions.at(i)] = versions.at(i + 1);
         return digest;
     } catch (const json::exception& error) {
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -3,6 +3,7 @@
 #include <base/base.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,8 @@
         target_load load;
     };
     std::vector<entry> entries = {};
+    /// Oldest weight version on which the process still starts requests, by the hash of the model.
+    std::map<std::uint64_t, int> oldestInUse = {};
 };
 
 /// First byte of each datagram with a load digest; distinguishes it from other datagrams of the relays.
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -60,7 +60,10 @@
 void load_exchange::sendTo(const net::endpoint& address, std::vector<load_digest::entry> entries)
 {
     m_send(address,
-        encode({ .process = m_options.process, .sequence = m_sequence, .entries = std::move(entries) }));
+        encode({ .process = m_options.process,
+            .sequence = m_sequence,
+            .entries = std::move(entries),
+            .oldestInUse = m_targets.weightsInUse().own() }));
 }
 
 void load_exchange::loadingChanged(const target_record& target)
@@ -119,6 +122,7 @@
         return;
     last = digest->sequence;
     m_targets.setPeerLoad(digest->process, digest->entries);
+    m_targets.weightsInUse().reported(digest->process, digest->oldestInUse);
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -24,18 +24,23 @@
     return base::duration(static_cast<std::int64_t>(m_options.oldWeightsShare * limit));
 }
 
-std::string target_chooser::requiredVersion(const placement_request& request) const
+std::string target_chooser::requiredVersion(const placement_request& request)
 {
-    const auto wanted = m_wantedVersions.find(request.model);
-    if (request.model.empty() || wanted == m_wantedVersions.end())
+    if (request.model.empty())
         return {};
+    const auto found = m_wantedVersions.find(request.model);
+    const wanted_version wanted = found == m_wantedVersions.end() ? wanted_version {} : found->second;
     // Targets may already have a version that this process has not been notified of.
     const int newest = m_targets.newestVersion(request.service, request.model);
-    const int required = std::max(wanted->second.version, newest);
-    const bool late
-        = required == wanted->second.version && m_clock.now() - wanted->second.since >= oldWeightsLimit();
-    const double share = m_targets.shareWithVersion(request.service, request.model, required);
-    return late || share >= m_options.newWeightsShare ? std::to_string(required) : std::string();
+    const int required = std::max(wanted.version, newest);
+    if (required == 0)
+        return {};
+    const bool late = required == wanted.version && m_clock.now() - wanted.since >= oldWeightsLimit();
+    const int usable = late
+        ? required
+        : m_targets.versionOfShare(request.service, request.model, m_options.newWeightsShare);
+    m_targets.stopUsingOlderWeights(request.model, usable);
+    return usable >= required ? std::to_string(required) : std::string();
 }
 
 placement target_chooser::choose(const placement_request& request)
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -68,7 +68,8 @@
 
 private:
     base::duration oldWeightsLimit() const;
-    std::string requiredVersion(const placement_request& request) const;
+    /// Returns the version that \a request must run on; empty if all versions in use may serve it.
+    std::string requiredVersion(const placement_request& request);
 
     const base::clock& m_clock;
     target_registry& m_targets;
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -1,6 +1,8 @@
 #include "target_registry.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 
 namespace marigold::relay {
 
@@ -71,6 +73,10 @@
 void target_registry::setProcesses(std::span<const std::string_view> processes)
 {
     m_groups.setProcesses(processes);
+    m_peers.assign(processes.begin(), processes.end());
+    std::erase(m_peers, m_options.process);
+    m_weightsInUse.retain(
+        [&](const std::string& process) { return std::ranges::find(m_peers, process) != m_peers.end(); });
     for (const auto& [id, target] : m_targets)
         assign(*target);
 }
@@ -114,7 +120,7 @@
     m_table.setState(held->index,
         registration.draining ? routing::target_state::Draining : routing::target_state::Serving);
     if (!isNew)
-        return;
+        return publishLoad(*held);
     m_byIndex.resize(std::max<std::size_t>(m_byIndex.size(), held->index + 1));
     m_byIndex[held->index] = held;
     m_outliers.add(held->index, registration.service);
@@ -348,13 +354,28 @@
             publishLoad(*found->second);
 }
 
+void target_registry::stopUsingOlderWeights(std::string_view model, int version)
+{
+    if (m_weightsInUse.oldest(model) >= version)
+        return;
+    m_weightsInUse.raise(model, version);
+    for (const auto& [id, target] : m_targets)
+        publishLoad(*target);
+}
+
+bool target_registry::hasOldWeights(const target_record& target) const
+{
+    return std::ranges::any_of(target.registration.weightVersions,
+        [&](const auto& entry) { return entry.second < m_weightsInUse.oldest(entry.first); });
+}
+
 void target_registry::publishLoad(target_record& target)
 {
     if (target.removed)
         return;
     target_load all = target.own;
     all += target.peers;
-    m_table.setOutOfService(target.index, all.loading > 0);
+    m_table.setOutOfService(target.index, all.loading > 0 || hasOldWeights(target));
     int running = std::max(all.requests, 0);
     int slots = std::max(target.registration.slots, 1);
     // Memory is exhausted before the slots are, so both are converted to requests of the mean size.
@@ -388,6 +409,7 @@
     found->second = version;
     recordVersions(target.registration);
     m_table.put(infoOf(target.registration));
+    publishLoad(target);
 }
 
 void target_registry::recordVersions(const target_registration& registration)
@@ -421,19 +443,20 @@
     return oldest;
 }
 
-double target_registry::shareWithVersion(std::string_view service, std::string_view model, int version) const
+int target_registry::versionOfShare(std::string_view service, std::string_view model, double share) const
 {
-    int all = 0;
-    int reached = 0;
+    std::vector<int> versions;
     for (const auto& [id, target] : m_targets) {
-        const auto& versions = target->registration.weightVersions;
-        const auto found = versions.find(std::string(model));
-        if (target->registration.service != service || !target->assigned || found == versions.end())
-            continue;
-        ++all;
-        reached += found->second >= version ? 1 : 0;
+        const auto found = target->registration.weightVersions.find(std::string(model));
+        if (target->registration.service == service && target->assigned
+            && found != target->registration.weightVersions.end())
+            versions.push_back(found->second);
     }
-    return all == 0 ? 0.0 : static_cast<double>(reached) / all;
+    if (versions.empty())
+        return 0;
+    std::ranges::sort(versions, std::greater<> {});
+    const auto needed = static_cast<std::size_t>(std::ceil(share * static_cast<double>(versions.size())));
+    return versions[std::max<std::size_t>(needed, 1) - 1];
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -4,6 +4,7 @@
 #include "relay_config.h"
 #include "send_rate_limiter.h"
 #include "sender_groups.h"
+#include "weights_in_use.h"
 #include "wire_dialect.h"
 
 #include <routing/routing.h>
@@ -183,9 +184,17 @@
     /// Returns the oldest version at any target, by model. Draining targets are ignored.
     std::map<std::string, int> oldestVersions() const;
 
-    /// Returns the share of the targets of \a service to which this process sends that have at least
-    /// \a version of \a model.
-    double shareWithVersion(std::string_view service, std::string_view model, int version) const;
+    /// Stops sending requests of \a model to targets with weights older than \a version, for good.
+    void stopUsingOlderWeights(std::string_view model, int version);
+
+    weights_in_use& weightsInUse() { return m_weightsInUse; }
+
+    /// Returns the oldest version of \a model on which any registered process starts requests; 0 if unknown.
+    int oldestVersionInUse(std::string_view model) const { return m_weightsInUse.oldestOf(m_peers, model); }
+
+    /// Returns the newest version of \a model that at least \a share of the targets of \a service have to
+    /// which this process sends; 0 if there are none.
+    int versionOfShare(std::string_view service, std::string_view model, double share) const;
 
     routing::router& router() { return m_router; }
     const routing::target_table& table() const { return m_table; }
@@ -199,6 +208,7 @@
     bool hasCapacity(const target_record& target, const target_load& work) const;
     double prefillTokensPerSecondOf(const target_record& target) const;
     void recordVersions(const target_registration& registration);
+    bool hasOldWeights(const target_record& target) const;
     void publishLoad(target_record& target);
     void publishLoads(const std::vector<load_digest::entry>& entries);
     void addPeerLoad(const load_digest::entry& item, bool add);
@@ -211,6 +221,8 @@
     routing::router m_router;
     std::shared_ptr<const relay_config> m_config;
     sender_groups m_groups;
+    std::vector<std::string> m_peers; ///< Ids of the other registered processes.
+    weights_in_use m_weightsInUse;
     bool m_isolated = false;
     std::map<std::string, int, std::less<>> m_counts; ///< Number of targets by service.
     std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_newest; ///< By service.
--- a/tests/libs/relay/context_reclaimer_test.cpp
+++ b/tests/libs/relay/context_reclaimer_test.cpp
@@ -43,7 +43,7 @@
     base::event_log log { { .output = [](std::string_view) {} } };
     plain_decoder decoder;
     order_lease_holder lease { store, decoder, timers, clock, random, log, { .process = "p" } };
-    target_registry targets { clock, {} };
+    target_registry targets { clock, { .process = "self" } };
     context_catalog catalog { clock, {} };
     freeing_source source;
     context_event_distributor distributor { [](const net::endpoint&, std::string_view) {},
@@ -97,6 +97,38 @@
 
 } // namespace
 
+TEST_CASE(
+    "context of replaced weights is freed once all processes use newer ones, before all targets have them")
+{
+    // Guards against stores that are full of useless context while weights are replaced: in a recorded day
+    // nothing was saved from 22 to 31 s, since the last of 180 targets loaded at 29 s and newer weights were
+    // named meanwhile.
+    fixture f;
+    const std::vector<std::string_view> processes { "self", "a", "b" };
+    f.targets.setProcesses(processes);
+    f.put(0, 2);
+    f.targets.stopUsingOlderWeights("m", 2);
+    const std::map<std::uint64_t, int> second { { base::hash64("m"), 2 } };
+    f.targets.weightsInUse().reported("a", second);
+    f.run(std::chrono::seconds(3));
+    CHECK(f.source.freedScopes.empty()); // nothing is known of the third process
+    f.targets.weightsInUse().reported("b", { { base::hash64("m"), 1 } });
+    f.run(std::chrono::seconds(3));
+    CHECK(f.source.freedScopes.empty()); // it still uses the first version
+    f.targets.weightsInUse().reported("b", second);
+    f.run(std::chrono::milliseconds(1400));
+    CHECK(f.source.freedScopes.empty()); // the last request may still be fetching
+    f.run(std::chrono::milliseconds(300));
+    CHECK(f.source.freedScopes == std::set<std::string> { fixture::scope(1) });
+    // A process that has just started has not reported.
+    f.targets.weightsInUse().reported("a", { { base::hash64("m"), 3 } });
+    f.targets.stopUsingOlderWeights("m", 3);
+    const std::vector<std::string_view> joined { "self", "a", "c" };
+    f.targets.setProcesses(joined);
+    f.run(std::chrono::seconds(3));
+    CHECK(f.source.freedScopes == std::set<std::string> { fixture::scope(1) });
+}
+
 TEST_CASE("only context of replaced weights is freed, once no request can use it")
 {
     // Guards against freeing a part while a request fetches it (users' rule MIXED).
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -284,6 +284,34 @@
     CHECK(f.chosen(50).size() == 2);
 }
 
+TEST_CASE("weights that were given up are not used again when newer ones are named")
+{
+    // Guards against a request that fetches context of weights that all processes have given up, and that is
+    // being freed (users' rule MIXED).
+    fixture f(4);
+    f.chooser.setWantedVersion(model, 2);
+    CHECK(f.chosen(100).size() == 4);
+    for (const int loaded : { 0, 1 })
+        f.targets.put(fixture::registration(loaded, 2));
+    CHECK(f.chosen(100) == std::set<std::string> { "t0", "t1" });
+    f.chooser.setWantedVersion(model, 3);
+    CHECK(f.chosen(100) == std::set<std::string> { "t0", "t1" });
+    f.targets.observeVersion(f.record(2), model, 2);
+    CHECK(f.chosen(100).contains("t2"));
+}
+
+TEST_CASE("a process that is cut off from the store learns of newer weights from the targets")
+{
+    // Guards against one process that has not been told of newer weights and keeps all others from freeing
+    // the context of the older ones: they waited 8 s for its registration to lapse.
+    fixture f(4);
+    f.targets.observeVersion(f.record(0), model, 2);
+    CHECK(f.chosen(100).size() == 4);
+    f.targets.observeVersion(f.record(1), model, 2);
+    CHECK(f.chosen(100) == std::set<std::string> { "t0", "t1" });
+    CHECK(f.targets.weightsInUse().oldest(model) == 2);
+}
+
 TEST_CASE("targets that are missing after an outage are kept for the grace period")
 {
     // Guards against refusing requests while targets register again, and against sending requests to a
