Announce the load of a target when a request is sent to it

At one engine that had just loaded weights, six prompts of five relays with 38,000 tokens arrived within 30 ms, each relay taking it for idle: digests came every 75 ms. Change: a partial digest with the targets to which requests were just sent goes to the processes that share them, at most every 4 ms; full digests stay as they were. Test: load_exchange_test, 12 processes with prompts waiting for one free target, messages of 1.5 ms.

--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -48,8 +48,9 @@
         versions.push_back(model);
         versions.push_back(version);
     }
-    json::to_msgpack(
-        json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions) }), bytes);
+    json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
+                         digest.isPartial }),
+        bytes);
     return bytes;
 }
 
@@ -67,11 +68,13 @@
                     .prefillTokens = numbers.at(i + 2),
                     .tokens = numbers.at(i + 3),
                     .loading = numbers.at(i + 4) } });
-        // Relays of an earlier build do not send versions.
+        // Relays of an earlier build send neither versions nor partial digests.
         constexpr std::size_t versionsAt = 3;
         const json versions = value.size() > versionsAt ? value.at(versionsAt) : json::array();
         for (std::size_t i = 0; i + 1 < versions.size(); i += 2)
             digest.oldestInUse[versions.at(i)] = versions.at(i + 1);
+        constexpr std::size_t partialAt = 4;
+        digest.isPartial = value.size() > partialAt && value.at(partialAt).get<bool>();
         return digest;
     } catch (const json::exception& error) {
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -32,6 +32,7 @@
         target_load load;
     };
     std::vector<entry> entries = {};
+    bool isPartial = false; ///< Lists only targets whose load has just changed; the others are as before.
     /// Oldest weight version on which the process still starts requests, by the hash of the model.
     std::map<std::uint64_t, int> oldestInUse = {};
 };
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -10,7 +10,10 @@
     , m_send(std::move(send))
     , m_options(std::move(opts))
 {
-    m_targets.onLoadingChanged([this](const target_record& target) { loadingChanged(target); });
+    m_targets.setLoadObserver({
+        .loadingChanged = [this](const target_record& target) { loadingChanged(target); },
+        .requestStarted = [this](const target_record& target) { requestStarted(target); },
+    });
 }
 
 void load_exchange::start()
@@ -57,12 +60,14 @@
     return entries;
 }
 
-void load_exchange::sendTo(const net::endpoint& address, std::vector<load_digest::entry> entries)
+void load_exchange::sendTo(
+    const net::endpoint& address, std::vector<load_digest::entry> entries, bool isPartial)
 {
     m_send(address,
         encode({ .process = m_options.process,
             .sequence = m_sequence,
             .entries = std::move(entries),
+            .isPartial = isPartial,
             .oldestInUse = m_targets.weightsInUse().own() }));
 }
 
@@ -78,6 +83,33 @@
     m_timers.runAfter(base::duration::zero(), [this] { publishUrgent(); });
 }
 
+void load_exchange::requestStarted(const target_record& target)
+{
+    m_changed.insert(target.registration.id);
+    if (std::exchange(m_changedScheduled, true))
+        return;
+    m_timers.runAfter(base::duration::zero(), [this] { publishChanged(); });
+}
+
+void load_exchange::publishChanged()
+{
+    ++m_sequence;
+    std::vector<target_registry::own_load> loads;
+    for (const std::string& id : std::exchange(m_changed, {}))
+        if (const auto target = m_targets.targets().find(id); target != m_targets.targets().end())
+            loads.push_back(m_targets.ownLoad(*target->second));
+    for (const std::string& id : m_groupPeers)
+        if (auto entries = entriesFor(id, loads); !entries.empty())
+            sendTo(m_peers.at(id), std::move(entries), true);
+    m_timers.runAfter(m_options.partialInterval, [this] {
+        m_changedScheduled = false;
+        if (!m_changed.empty()) {
+            m_changedScheduled = true;
+            publishChanged();
+        }
+    });
+}
+
 void load_exchange::publishUrgent()
 {
     const std::set<std::string> peers = std::exchange(m_urgentPeers, {});
@@ -121,7 +153,10 @@
     if (digest->sequence <= last)
         return;
     last = digest->sequence;
-    m_targets.setPeerLoad(digest->process, digest->entries);
+    if (digest->isPartial)
+        m_targets.updatePeerLoad(digest->process, digest->entries);
+    else
+        m_targets.setPeerLoad(digest->process, digest->entries);
     m_targets.weightsInUse().reported(digest->process, digest->oldestInUse);
 }
 
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -29,6 +29,9 @@
         /// Datagrams per second to the other processes, with which only the targets of small services are
         /// shared.
         double maxOtherDatagramsPerSecond = 80;
+        /// Shortest time between two partial digests. They announce requests as soon as they are sent, so
+        /// that a target that has just become free is not chosen by all processes at once.
+        base::duration partialInterval = std::chrono::milliseconds(4);
         /// Datagrams per second that announce which targets load weights.
         double maxUrgentDatagramsPerSecond = 2000;
     };
@@ -49,9 +52,12 @@
     void publish();
     void loadingChanged(const target_record& target);
     void publishUrgent();
+    void requestStarted(const target_record& target);
+    void publishChanged();
     std::vector<load_digest::entry> entriesFor(
         std::string_view peer, std::span<const target_registry::own_load> loads) const;
-    void sendTo(const net::endpoint& address, std::vector<load_digest::entry> entries);
+    void sendTo(
+        const net::endpoint& address, std::vector<load_digest::entry> entries, bool isPartial = false);
     base::duration publishInterval() const;
     static base::duration roundTime(std::size_t datagramsPerRound, double perSecond);
 
@@ -62,6 +68,8 @@
     std::uint64_t m_sequence = 0;
     std::set<std::string> m_urgentPeers; ///< Share a target that has begun or ended to load.
     bool m_urgentScheduled = false;
+    std::set<std::string> m_changed; ///< Ids of targets to which requests were sent since the last digest.
+    bool m_changedScheduled = false;
     std::map<std::string, net::endpoint> m_peers; ///< All others.
     std::vector<std::string> m_groupPeers; ///< Those that share a group of targets with this process.
     std::vector<std::string> m_otherPeers;
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -268,6 +268,8 @@
     const auto tokens = static_cast<double>(work.tokens);
     mean += (mean == 0 ? 1.0 : smoothingFactor) * (tokens - mean);
     publishLoad(target);
+    if (m_observer.requestStarted)
+        m_observer.requestStarted(target);
 }
 
 void target_registry::prefillFinished(target_record& target, std::int64_t prefillTokens, base::duration took)
@@ -297,8 +299,8 @@
 {
     const int before = std::exchange(target.own.loading, loading ? 1 : 0);
     publishLoad(target);
-    if (before != target.own.loading && m_loadingChanged)
-        m_loadingChanged(target);
+    if (before != target.own.loading && m_observer.loadingChanged)
+        m_observer.loadingChanged(target);
 }
 
 std::pair<std::size_t, std::size_t> target_registry::groupOf(const target_record& target) const
@@ -307,15 +309,23 @@
     return { sender_groups::groupOf(target.hash, groups), groups };
 }
 
+target_registry::own_load target_registry::ownLoad(const target_record& target) const
+{
+    const auto [group, groups] = groupOf(target);
+    return {
+        .entry = { .target = target.hash, .load = target.own },
+        .group = group,
+        .groups = groups,
+    };
+}
+
 std::vector<target_registry::own_load> target_registry::ownLoads() const
 {
     std::vector<own_load> loads;
     for (const auto& [id, target] : m_targets) {
         if (target->own == target_load {})
             continue;
-        const auto [group, groups] = groupOf(*target);
-        loads.push_back(
-            { .entry = { .target = target->hash, .load = target->own }, .group = group, .groups = groups });
+        loads.push_back(ownLoad(*target));
     }
     return loads;
 }
@@ -347,6 +357,23 @@
         reported = { .at = m_clock.now(), .entries = loads };
 }
 
+void target_registry::updatePeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads)
+{
+    peer_load& reported = m_peerLoads[std::string(process)];
+    reported.at = m_clock.now();
+    for (const load_digest::entry& item : loads) {
+        const auto known = std::ranges::find(reported.entries, item.target, &load_digest::entry::target);
+        if (known != reported.entries.end()) {
+            addPeerLoad(*known, false);
+            *known = item;
+        } else {
+            reported.entries.push_back(item);
+        }
+        addPeerLoad(item, true);
+    }
+    publishLoads(loads);
+}
+
 void target_registry::publishLoads(const std::vector<load_digest::entry>& entries)
 {
     for (const load_digest::entry& item : entries)
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -125,11 +125,12 @@
     /// requests to it.
     void setLoading(target_record& target, bool loading);
 
-    /// Sets a function that is called after each change by `setLoading`.
-    void onLoadingChanged(std::function<void(const target_record&)> changed)
-    {
-        m_loadingChanged = std::move(changed);
-    }
+    /// Called when the load of a target changes such that the other processes should know at once.
+    struct load_observer {
+        std::function<void(const target_record&)> loadingChanged; ///< After each change by `setLoading`.
+        std::function<void(const target_record&)> requestStarted;
+    };
+    void setLoadObserver(load_observer observer) { m_observer = std::move(observer); }
 
     /// Records that \a target has refused a request without running it.
     void refused(target_record& target) { target.pausedUntil = m_clock.now() + m_options.refusalPause; }
@@ -144,6 +145,9 @@
         std::size_t groups = 1;
     };
 
+    /// Returns the unfinished work of this process at \a target.
+    own_load ownLoad(const target_record& target) const;
+
     /// Returns the unfinished work of this process at each target that has any.
     std::vector<own_load> ownLoads() const;
 
@@ -154,6 +158,9 @@
     /// Sets the unfinished work of \a process and replaces what it reported before.
     void setPeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads);
 
+    /// Sets the unfinished work of \a process at the targets in \a loads only.
+    void updatePeerLoad(std::string_view process, const std::vector<load_digest::entry>& loads);
+
     /// Removes the load of processes that are not in \a present.
     template <typename Map> void retainPeers(const Map& present)
     {
@@ -237,7 +244,7 @@
     std::map<std::string, double, std::less<>> m_prefillTokensPerSecond; ///< Smoothed, by service.
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Mean tokens of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
-    std::function<void(const target_record&)> m_loadingChanged;
+    load_observer m_observer;
 };
 
 } // namespace marigold::relay
--- a/tests/libs/relay/load_exchange_test.cpp
+++ b/tests/libs/relay/load_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -113,3 +114,70 @@
         CHECK(f.sent.size() >= static_cast<std::size_t>(std::min(peers, 12)));
     }
 }
+
+TEST_CASE("a target that has become free is not chosen by all processes at once")
+{
+    // Guards against loads that are known only by the next periodic digest: when a target had loaded its
+    // weights, five relays sent it 38,000 tokens of prompts within 30 ms, each of them taking it for idle,
+    // and short prompts waited 800 ms there.
+    constexpr int count = 12;
+    constexpr std::string_view service = "svc";
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    struct process {
+        std::unique_ptr<target_registry> targets;
+        std::unique_ptr<load_exchange> exchange;
+    };
+    std::map<std::string, process> processes;
+    std::map<std::string, net::endpoint> addresses;
+    for (int i = 0; i < count; ++i)
+        addresses["p" + std::to_string(i)]
+            = { .address = "10.0.1.1", .port = static_cast<std::uint16_t>(i + 1) };
+    const auto deliver = [&](const net::endpoint& to, std::string_view bytes) {
+        constexpr base::duration transit { 1'500 };
+        timers.runAfter(transit, [&, to, datagram = std::string(bytes)] {
+            for (const auto& [id, address] : addresses)
+                if (address.port == to.port)
+                    processes.at(id).exchange->received(datagram);
+        });
+    };
+    std::vector<std::string_view> ids;
+    for (const auto& [id, address] : addresses)
+        ids.push_back(id);
+    for (const auto& [id, address] : addresses) {
+        process& made = processes[id];
+        made.targets = std::make_unique<target_registry>(clock, target_registry::options { .process = id });
+        made.exchange = std::make_unique<load_exchange>(
+            *made.targets, timers, deliver, load_exchange::options { .process = id });
+        made.targets->setProcesses(ids);
+        made.exchange->setPeers(addresses);
+        relay_config::options options { .version = 1 };
+        options.services.push_back({ .name = std::string(service),
+            .engine = engine_limits { .slots = 64, .contextTokens = 80'000 } });
+        made.targets->setConfig(std::make_shared<relay_config>(std::move(options)));
+        made.targets->put({ .id = "t", .service = std::string(service), .slots = 64 });
+        // All processes know how fast the target reads prompts.
+        target_record& target = *made.targets->targets().at("t");
+        made.targets->requestStarted(target, { .requests = 1, .prefillTokens = 6'000 });
+        made.targets->prefillFinished(target, 6'000, std::chrono::milliseconds(100));
+        made.targets->requestFinished(target, { .requests = 1 }, std::chrono::milliseconds(100));
+        made.exchange->start();
+    }
+    timers.advance(std::chrono::milliseconds(200));
+    // Each process has prompts that wait; they find the target free one after another within 30 ms.
+    const target_load prompt { .requests = 1, .prefillTokens = 6'000, .tokens = 7'000 };
+    std::int64_t sent = 0;
+    for (int round = 0; round < 10; ++round)
+        for (const auto& [id, item] : processes) {
+            target_record& target = *item.targets->targets().at("t");
+            if (item.targets->canAccept(target, prompt)) {
+                item.targets->requestStarted(target, prompt);
+                sent += prompt.prefillTokens;
+            }
+            timers.advance(std::chrono::microseconds(250));
+        }
+    // The limit of the backlog is 150 ms, which is 9,000 tokens here; one prompt may exceed it, and others
+    // are sent while the news are on their way.
+    CHECK(sent >= 12'000);
+    CHECK(sent <= 48'000);
+}
