Watch the platform's store as often as its limits ask for

Ruled out: renewals of leases (a tenth of the price). Change: the pause and the length of a watch are shares of the time within which a change must be in force, which the template fills from the platform's limits for configurations and for targets that leave; 300 ms and 1.3 s at 2 s as before.

--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -60,7 +60,8 @@
         .retryBudgets = m_retryBudgets,
         .startedAt = time.now(),
         .config = nullptr }
-    , m_follower(m_store, ports.decoder, loop, time, m_random, log, *this, {})
+    , m_follower(
+          m_store, ports.decoder, loop, time, m_random, log, *this, { .changeLimit = m_options.changeLimit })
     , m_presence(m_store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
     , m_lease(m_store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -40,6 +40,8 @@
     bool targetsCheckTokens = true;
     /// Without token checks at the targets, orders of two holders within this time count as concurrent.
     base::duration orderTakeoverDelay = std::chrono::seconds(3);
+    /// Time within which a change of the operator or of a registration must be in force.
+    base::duration changeLimit = std::chrono::seconds(2);
     /// Time after a change of the wanted weight version in which requests may still start on older weights.
     base::duration versionLimit = std::chrono::seconds(6);
     /// Retries, including sends that a target refused, that all processes may make beyond a share of the
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -38,6 +38,14 @@
         { .description = "Delay between two holders of the lease on orders if targets do not check tokens.",
             .minimum = 0,
             .maximum = maxDurationMs });
+    reader.add("relay.config_limit_ms", &configLimit,
+        { .description = "Time within which a change of the configuration must be in force.",
+            .minimum = 0,
+            .maximum = maxDurationMs });
+    reader.add("relay.leave_limit_ms", &leaveLimit,
+        { .description = "Time after which a target that leaves must get no more requests.",
+            .minimum = 0,
+            .maximum = maxDurationMs });
     reader.add("relay.version_limit_ms", &versionLimit,
         { .description = "Time after a change of the wanted weight version in which requests may start on "
                          "older weights.",
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -17,6 +17,8 @@
     std::string readinessAddress = {}; ///< IP:PORT for the readiness probe; required.
     bool targetsCheckTokens = false;
     std::chrono::milliseconds orderTakeoverDelay { 3000 };
+    std::chrono::milliseconds configLimit { 2000 };
+    std::chrono::milliseconds leaveLimit { 2000 };
     std::chrono::milliseconds versionLimit { 6000 };
     double retrySlack = 50;
     double retryShare = 0.2;
--- a/src/libs/relay/state_follower.cpp
+++ b/src/libs/relay/state_follower.cpp
@@ -58,9 +58,15 @@
     m_observer.replaced(present);
 }
 
+base::duration state_follower::shareOfLimit(double share) const
+{
+    return base::duration(
+        static_cast<std::int64_t>(share * static_cast<double>(m_options.changeLimit.count())));
+}
+
 void state_follower::watch()
 {
-    m_store.watch(m_options.prefix, m_revision, m_options.watchDuration,
+    m_store.watch(m_options.prefix, m_revision, shareOfLimit(m_options.watchDurationShare),
         [this](base::result<platform::kv_watch_batch> batch) {
             if (!batch) {
                 // The store has discarded the changes since the last known revision.
@@ -70,7 +76,7 @@
             }
             callSucceeded();
             apply(*batch);
-            m_timers.runAfter(m_options.watchInterval, [this] { watch(); });
+            m_timers.runAfter(shareOfLimit(m_options.watchIntervalShare), [this] { watch(); });
         });
 }
 
--- a/src/libs/relay/state_follower.h
+++ b/src/libs/relay/state_follower.h
@@ -31,12 +31,14 @@
 class state_follower {
 public:
     struct options {
-        /// Time between two watches, which batches changes: each watch is a billed call.
-        base::duration watchInterval = std::chrono::milliseconds(300);
+        /// Time within which a change must be in force.
+        base::duration changeLimit = std::chrono::seconds(2);
+        /// Share of that time between two watches, which batches changes: each watch is a billed call, and
+        /// with many targets there is always a change.
+        double watchIntervalShare = 0.15;
         /// A watch may stop delivering changes without an error, for example on a dead connection. It is
-        /// therefore renewed often enough for a change of the configuration to be in force within two
-        /// seconds.
-        base::duration watchDuration = std::chrono::milliseconds(1300);
+        /// therefore renewed after this share of the time, so that the next one delivers the change in time.
+        double watchDurationShare = 0.65;
         base::duration minRetryDelay = std::chrono::milliseconds(100);
         base::duration maxRetryDelay = std::chrono::milliseconds(400);
         std::string prefix = {}; ///< Prefix of the keys to follow; empty for all.
@@ -55,6 +57,7 @@
     bool isReachable() const { return m_reachable; }
 
 private:
+    base::duration shareOfLimit(double share) const;
     void readSnapshot();
     void apply(const platform::kv_snapshot& snapshot);
     void watch();
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -28,6 +28,11 @@
     return std::chrono::milliseconds(std::llround(1000 * std::min(limit, longestSeconds)));
 }
 
+/// Bounds of the time within which a change must be in force: more frequent calls would overload the
+/// platform's store, and later changes would cost service even where the platform allows them.
+constexpr base::duration shortestChangeLimit = std::chrono::milliseconds(500);
+constexpr base::duration longestChangeLimit = std::chrono::seconds(6);
+
 relay::relay_options optionsOf(const relay::relay_settings& settings, base::random_source& random)
 {
     constexpr std::size_t incarnationBytes = 4;
@@ -39,6 +44,8 @@
         .readiness = endpointOf(settings.readinessAddress),
         .targetsCheckTokens = settings.targetsCheckTokens,
         .orderTakeoverDelay = settings.orderTakeoverDelay,
+        .changeLimit = std::clamp<base::duration>(
+            std::min(settings.configLimit, settings.leaveLimit), shortestChangeLimit, longestChangeLimit),
         .versionLimit = settings.versionLimit,
         .retrySlack = settings.retrySlack,
         .retryShare = settings.retryShare,
