Limit fetches from a slow store to what its link carries

The window of a relay for a store is no bound over 40 relays, and a relay fetches from one store less than once a second, too seldom to notice. Ruled out: a shorter wait (the fetches would be late all the same). Change: fetch_throttle for each store lowers the share of the parts that are fetched while more than a quarter of the fetches are late (chosen by the hash of the part, alike in all relays), and raises it otherwise; relays tell each other the outcomes of their fetches in the load digests. What is not fetched is computed at once.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -160,6 +160,10 @@
             held = findComplete(*owner, key, parts[i].tokens);
             holder = held ? owner : nullptr;
         }
+        if (holder && !holder->throttle.admits(parts[i].id, now)) {
+            inPrefix = false;
+            continue;
+        }
         if (holder && !holder->window.hasCapacity()) {
             out.sourceBusy = true;
             inPrefix = false;
@@ -209,10 +213,34 @@
     const auto source = m_stores.find(plan.mainSource);
     if (source == m_stores.end())
         return;
-    if (excess)
-        source->second.window.transferFinished(*excess, m_clock.now());
-    else
-        source->second.window.transferAbandoned();
+    store_record& store = source->second;
+    if (!excess)
+        return store.window.transferAbandoned();
+    const base::time_point now = m_clock.now();
+    store.window.transferFinished(*excess, now);
+    const bool late = *excess > m_options.lateFetchDelay;
+    ++(late ? store.unreported.late : store.unreported.inTime);
+    store.throttle.record(late ? 0 : 1, late ? 1 : 0, now);
+}
+
+std::vector<fetch_outcomes> context_catalog::takeFetchOutcomes()
+{
+    std::vector<fetch_outcomes> outcomes;
+    for (auto& [address, store] : m_stores) {
+        if (store.unreported.inTime + store.unreported.late == 0)
+            continue;
+        store.unreported.store = base::hash64(address);
+        outcomes.push_back(std::exchange(store.unreported, {}));
+    }
+    return outcomes;
+}
+
+void context_catalog::recordFetchOutcomes(std::span<const fetch_outcomes> outcomes)
+{
+    for (const fetch_outcomes& item : outcomes)
+        for (auto& [address, store] : m_stores)
+            if (base::hash64(address) == item.store)
+                store.throttle.record(std::max(item.inTime, 0), std::max(item.late, 0), m_clock.now());
 }
 
 std::vector<context_key> context_catalog::selectParts(const net::endpoint& address, std::size_t limit,
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fetch_throttle.h"
 #include "relay_config.h"
 #include "remote_clock.h"
 #include "transfer_window.h"
@@ -58,6 +59,8 @@
         base::duration maxAge = std::chrono::milliseconds(2200);
         /// Share of a store that is filled. The rest is reserved for saves whose size is known late.
         double maxFillShare = 0.97;
+        /// Delay of the first token beyond the expected time above which its fetch counts as late.
+        base::duration lateFetchDelay = std::chrono::milliseconds(250);
     };
 
     context_catalog(const base::clock& time, options opts);
@@ -94,6 +97,12 @@
     /// expected prefill and transfer time; empty if no token was received.
     void planFinished(const transfer_plan& plan, std::optional<base::duration> excess);
 
+    /// Returns the outcomes of fetches of this process since the last call, to be told to the others.
+    std::vector<fetch_outcomes> takeFetchOutcomes();
+
+    /// Records outcomes of fetches of another process.
+    void recordFetchOutcomes(std::span<const fetch_outcomes> outcomes);
+
     /// Returns up to \a limit parts at \a address for which \a wanted returns true.
     std::vector<context_key> selectParts(const net::endpoint& address, std::size_t limit,
         const std::function<bool(const context_key&)>& wanted) const;
@@ -126,6 +135,8 @@
         base::time_point lastReceivedAt {};
         std::int64_t tokens = 0;
         transfer_window window;
+        fetch_throttle throttle;
+        fetch_outcomes unreported; ///< Outcomes that the other processes have not been told.
         std::map<context_key, cached_part> parts;
     };
     struct pending_save {
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -43,13 +43,19 @@
         numbers.push_back(item.load.loading);
     }
     std::string bytes(1, loadDigestKind);
+    json fetches = json::array();
+    for (const fetch_outcomes& item : digest.fetches) {
+        fetches.push_back(item.store);
+        fetches.push_back(item.inTime);
+        fetches.push_back(item.late);
+    }
     json versions = json::array();
     for (const auto& [model, version] : digest.oldestInUse) {
         versions.push_back(model);
         versions.push_back(version);
     }
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
-                         digest.isPartial }),
+                         digest.isPartial, std::move(fetches) }),
         bytes);
     return bytes;
 }
@@ -68,13 +74,18 @@
                     .prefillTokens = numbers.at(i + 2),
                     .tokens = numbers.at(i + 3),
                     .loading = numbers.at(i + 4) } });
-        // Relays of an earlier build send neither versions nor partial digests.
+        // Relays of an earlier build send only the loads.
         constexpr std::size_t versionsAt = 3;
         const json versions = value.size() > versionsAt ? value.at(versionsAt) : json::array();
         for (std::size_t i = 0; i + 1 < versions.size(); i += 2)
             digest.oldestInUse[versions.at(i)] = versions.at(i + 1);
         constexpr std::size_t partialAt = 4;
         digest.isPartial = value.size() > partialAt && value.at(partialAt).get<bool>();
+        constexpr std::size_t fetchesAt = 5;
+        const json fetches = value.size() > fetchesAt ? value.at(fetchesAt) : json::array();
+        for (std::size_t i = 0; i + 2 < fetches.size(); i += 3)
+            digest.fetches.push_back(
+                { .store = fetches.at(i), .inTime = fetches.at(i + 1), .late = fetches.at(i + 2) });
         return digest;
     } catch (const json::exception& error) {
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fetch_throttle.h"
+
 #include <base/base.h>
 
 #include <cstdint>
@@ -32,6 +34,7 @@
         target_load load;
     };
     std::vector<entry> entries = {};
+    std::vector<fetch_outcomes> fetches = {}; ///< Since the last digest with outcomes.
     bool isPartial = false; ///< Lists only targets whose load has just changed; the others are as before.
     /// Oldest weight version on which the process still starts requests, by the hash of the model.
     std::map<std::uint64_t, int> oldestInUse = {};
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -60,15 +60,12 @@
     return entries;
 }
 
-void load_exchange::sendTo(
-    const net::endpoint& address, std::vector<load_digest::entry> entries, bool isPartial)
+void load_exchange::sendTo(const net::endpoint& address, load_digest digest)
 {
-    m_send(address,
-        encode({ .process = m_options.process,
-            .sequence = m_sequence,
-            .entries = std::move(entries),
-            .isPartial = isPartial,
-            .oldestInUse = m_targets.weightsInUse().own() }));
+    digest.process = m_options.process;
+    digest.sequence = m_sequence;
+    digest.oldestInUse = m_targets.weightsInUse().own();
+    m_send(address, encode(digest));
 }
 
 void load_exchange::loadingChanged(const target_record& target)
@@ -100,7 +97,7 @@
             loads.push_back(m_targets.ownLoad(*target->second));
     for (const std::string& id : m_groupPeers)
         if (auto entries = entriesFor(id, loads); !entries.empty())
-            sendTo(m_peers.at(id), std::move(entries), true);
+            sendTo(m_peers.at(id), { .entries = std::move(entries), .isPartial = true });
     m_timers.runAfter(m_options.partialInterval, [this] {
         m_changedScheduled = false;
         if (!m_changed.empty()) {
@@ -117,7 +114,7 @@
     const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
     for (const std::string& id : peers)
         if (const auto peer = m_peers.find(id); peer != m_peers.end())
-            sendTo(peer->second, entriesFor(id, loads));
+            sendTo(peer->second, { .entries = entriesFor(id, loads) });
     m_timers.runAfter(roundTime(peers.size(), m_options.maxUrgentDatagramsPerSecond), [this] {
         m_urgentScheduled = false;
         if (!m_urgentPeers.empty()) {
@@ -131,15 +128,17 @@
 {
     ++m_sequence;
     const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
+    const std::vector<fetch_outcomes> fetches
+        = m_options.takeFetchOutcomes ? m_options.takeFetchOutcomes() : std::vector<fetch_outcomes> {};
     for (const std::string& id : m_groupPeers)
-        sendTo(m_peers.at(id), entriesFor(id, loads));
+        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads), .fetches = fetches });
     const base::duration interval = publishInterval();
     m_otherCredit = std::min(static_cast<double>(m_otherPeers.size()),
         m_otherCredit
             + m_options.maxOtherDatagramsPerSecond * std::chrono::duration<double>(interval).count());
     for (; m_otherCredit >= 1; --m_otherCredit) {
         const std::string& id = m_otherPeers[m_nextOther++ % m_otherPeers.size()];
-        sendTo(m_peers.at(id), entriesFor(id, loads));
+        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads) });
     }
     m_timers.runAfter(interval, [this] { publish(); });
 }
@@ -158,6 +157,8 @@
     else
         m_targets.setPeerLoad(digest->process, digest->entries);
     m_targets.weightsInUse().reported(digest->process, digest->oldestInUse);
+    if (m_options.fetchOutcomesReceived)
+        m_options.fetchOutcomesReceived(digest->fetches);
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -34,6 +34,10 @@
         base::duration partialInterval = std::chrono::milliseconds(4);
         /// Datagrams per second that announce which targets load weights.
         double maxUrgentDatagramsPerSecond = 2000;
+        /// Returns the outcomes of fetches since the last call; may be empty.
+        std::function<std::vector<fetch_outcomes>()> takeFetchOutcomes = {};
+        /// Called with the outcomes of fetches of a peer; may be empty.
+        std::function<void(std::span<const fetch_outcomes>)> fetchOutcomesReceived = {};
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
@@ -56,8 +60,7 @@
     void publishChanged();
     std::vector<load_digest::entry> entriesFor(
         std::string_view peer, std::span<const target_registry::own_load> loads) const;
-    void sendTo(
-        const net::endpoint& address, std::vector<load_digest::entry> entries, bool isPartial = false);
+    void sendTo(const net::endpoint& address, load_digest digest);
     base::duration publishInterval() const;
     static base::duration roundTime(std::size_t datagramsPerRound, double perSecond);
 
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -76,7 +76,11 @@
     , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { datagramReceived(bytes); })
     , m_loadExchange(m_targets, loop,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
-          { .process = m_options.process })
+          { .process = m_options.process,
+              .takeFetchOutcomes = [this] { return m_catalog.takeFetchOutcomes(); },
+              .fetchOutcomesReceived
+              = [this](
+                    std::span<const fetch_outcomes> outcomes) { m_catalog.recordFetchOutcomes(outcomes); } })
     , m_callers(loop, m_options.callers,
           [this](caller_connection& caller, message_head&& head, std::string&& body) {
               requestReceived(caller, std::move(head), std::move(body));
