Count a fetch as late only if it must have been given up

The throttle counted a delay of 250 ms as late, whatever the request's time for the fetch, which is 600 ms and more for a long prompt. Change: the request tells the throttle whether the first token came within the time given for the fetch and the prefill. Test: fetch_throttle_test.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -208,7 +208,8 @@
         source->second.window.transferStarted();
 }
 
-void context_catalog::planFinished(const transfer_plan& plan, std::optional<base::duration> excess)
+void context_catalog::planFinished(
+    const transfer_plan& plan, std::optional<base::duration> excess, bool wasInTime)
 {
     const auto source = m_stores.find(plan.mainSource);
     if (source == m_stores.end())
@@ -218,9 +219,8 @@
         return store.window.transferAbandoned();
     const base::time_point now = m_clock.now();
     store.window.transferFinished(*excess, now);
-    const bool late = *excess > m_options.lateFetchDelay;
-    ++(late ? store.unreported.late : store.unreported.inTime);
-    store.throttle.record(late ? 0 : 1, late ? 1 : 0, now);
+    ++(wasInTime ? store.unreported.inTime : store.unreported.late);
+    store.throttle.record(wasInTime ? 1 : 0, wasInTime ? 0 : 1, now);
 }
 
 std::vector<fetch_outcomes> context_catalog::takeFetchOutcomes()
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -59,8 +59,6 @@
         base::duration maxAge = std::chrono::milliseconds(2200);
         /// Share of a store that is filled. The rest is reserved for saves whose size is known late.
         double maxFillShare = 0.97;
-        /// Delay of the first token beyond the expected time above which its fetch counts as late.
-        base::duration lateFetchDelay = std::chrono::milliseconds(250);
     };
 
     context_catalog(const base::clock& time, options opts);
@@ -95,7 +93,8 @@
 
     /// Records the end of the transfers of \a plan. \a excess is the delay of the first token beyond the
     /// expected prefill and transfer time; empty if no token was received.
-    void planFinished(const transfer_plan& plan, std::optional<base::duration> excess);
+    /// \a wasInTime is false if the fetch must have been given up.
+    void planFinished(const transfer_plan& plan, std::optional<base::duration> excess, bool wasInTime = true);
 
     /// Returns the outcomes of fetches of this process since the last call, to be told to the others.
     std::vector<fetch_outcomes> takeFetchOutcomes();
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -210,6 +210,12 @@
     return std::max(inTime, now() + shortestFetchTime);
 }
 
+bool relay_session::fetchEndedInTime() const
+{
+    const base::duration prefill = m_services.targets.idlePrefillTime(m_service->name, m_work);
+    return now() - prefill <= m_fetchDeadline;
+}
+
 std::string relay_session::requestText(const target_record& target) const
 {
     const auto& versions = target.registration.weightVersions;
@@ -223,7 +229,7 @@
         fields.priority = urgency();
         fields.cacheScope = m_scope;
         fields.context = &m_context.plan;
-        fields.fetchUntilMs = m_services.context.platformTimeMs(fetchDeadline());
+        fields.fetchUntilMs = m_services.context.platformTimeMs(m_fetchDeadline);
     }
     if (!m_events.lastId().empty())
         fields.resumeAfter = m_events.lastId();
@@ -270,6 +276,7 @@
     logDispatch(target, version == versions.end() ? 0 : version->second);
     m_services.targets.requestStarted(target, m_work);
     m_sentAt = now();
+    m_fetchDeadline = fetchDeadline();
     m_lastTarget = target.registration.id;
     m_answer = answer_state::None;
     ++m_sends;
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -67,6 +67,7 @@
     bool send(target_record& target);
     target_load work() const;
     base::time_point fetchDeadline() const;
+    bool fetchEndedInTime() const;
     std::string requestText(const target_record& target) const;
     void releaseTarget();
     void attemptFailed(const base::error& failure);
@@ -114,6 +115,7 @@
     std::string m_lastTarget;
     bool m_firstTokenReceived = false;
     bool m_transfersInFlight = false; ///< The transfers of the context plan are counted as in flight.
+    base::time_point m_fetchDeadline {}; ///< A fetch that has not ended then is given up.
     base::duration m_expectedFirstToken { 0 }; ///< From the send to the first token.
     bool m_hadPrefillAhead = false; ///< The target had a prefill backlog when this request was sent.
     int m_sends = 0;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -83,7 +83,8 @@
     if (!m_firstTokenReceived) {
         m_firstTokenReceived = true;
         if (std::exchange(m_transfersInFlight, false))
-            m_services.context.planFinished(m_context, now() - m_sentAt - m_expectedFirstToken);
+            m_services.context.planFinished(
+                m_context, now() - m_sentAt - m_expectedFirstToken, fetchEndedInTime());
         m_services.targets.prefillFinished(*m_target, std::exchange(m_work.prefillTokens, 0),
             m_hadPrefillAhead ? base::duration::zero() : now() - m_sentAt);
         m_services.waitQueue.scheduleDispatch();
--- a/tests/libs/relay/fetch_throttle_test.cpp
+++ b/tests/libs/relay/fetch_throttle_test.cpp
@@ -88,7 +88,7 @@
     const auto plan = catalog.plan("s", parts);
     REQUIRE(plan.cachedTokens == 100);
     catalog.planStarted("s", parts, plan);
-    catalog.planFinished(plan, std::chrono::milliseconds(400));
+    catalog.planFinished(plan, std::chrono::milliseconds(400), false);
     const std::vector<fetch_outcomes> told = catalog.takeFetchOutcomes();
     REQUIRE(told.size() == 1);
     CHECK(told[0].late == 1);
