Limit the head of a response in the HTTP client of the product

Cause: evhttp reads a head without limit unless told; a store or target in trouble could fill the memory of an entry, agent or relay (its calls to stores and for orders) until the call times out. Found while looking for bytes without end. Ruled out: bodies, which have a limit already (16 MB). Change: 64 KB for the head.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -21,6 +21,10 @@
 /// Maximum number of idle connections per endpoint.
 constexpr std::size_t maxIdleConnections = 32;
 
+/// Limit of a response head, including a first line that does not end. Without it, a server in trouble could
+/// fill the memory of this process until the call times out.
+constexpr ev_ssize_t maxResponseHeaderBytes = 64 << 10;
+
 /// Effectively disables the timeouts of evhttp, since the timers of this class end a call.
 constexpr int transportTimeoutSeconds = 24 * 3600;
 
@@ -107,6 +111,7 @@
     evhttp_connection* connection
         = evhttp_connection_base_new(loop.handle(), nullptr, to.address.c_str(), to.port);
     evhttp_connection_set_timeout(connection, transportTimeoutSeconds);
+    evhttp_connection_set_max_headers_size(connection, maxResponseHeaderBytes);
     return connection;
 }
 
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -2,10 +2,16 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
 using namespace marigold;
 using namespace marigold::net;
 
@@ -37,8 +43,110 @@
     }
 };
 
+/// A server that sends \a start and then \a flood without end on each connection, until the client closes.
+class flooding_server {
+public:
+    flooding_server(event_loop& loop, std::string start, std::string flood)
+        : m_loop(loop)
+        , m_start(std::move(start))
+        , m_flood(std::move(flood))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        m_listener = evconnlistener_new_bind(loop.handle(), onAccepted, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&address),
+            sizeof(address));
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &length);
+        port = ntohs(address.sin_port);
+    }
+    ~flooding_server()
+    {
+        if (m_events)
+            bufferevent_free(m_events);
+        evconnlistener_free(m_listener);
+    }
+    flooding_server(const flooding_server&) = delete;
+    flooding_server& operator=(const flooding_server&) = delete;
+
+    std::uint16_t port = 0;
+    std::size_t sentBytes = 0;
+
+private:
+    static void onAccepted(evconnlistener*, int socket, sockaddr*, int, void* argument)
+    {
+        auto* self = static_cast<flooding_server*>(argument);
+        self->m_events = bufferevent_socket_new(self->m_loop.handle(), socket, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(self->m_events, nullptr, onWritten, onClosed, self);
+        bufferevent_enable(self->m_events, EV_READ | EV_WRITE);
+        self->write(self->m_start);
+    }
+    static void onWritten(bufferevent*, void* argument)
+    {
+        auto* self = static_cast<flooding_server*>(argument);
+        self->write(self->m_flood);
+    }
+    static void onClosed(bufferevent*, short, void* argument)
+    {
+        auto* self = static_cast<flooding_server*>(argument);
+        bufferevent_free(std::exchange(self->m_events, nullptr));
+    }
+    void write(const std::string& bytes)
+    {
+        sentBytes += bytes.size();
+        bufferevent_write(m_events, bytes.data(), bytes.size());
+    }
+
+    event_loop& m_loop;
+    std::string m_start;
+    std::string m_flood;
+    evconnlistener* m_listener = nullptr;
+    bufferevent* m_events = nullptr;
+};
+
 } // namespace
 
+TEST_CASE("a response without end is cut off")
+{
+    // Guards against a server in trouble that fills the memory of its client: heads had no limit.
+    const std::string many(16 << 10, 'x');
+    struct row {
+        std::string name;
+        std::string start;
+        std::string flood;
+    };
+    const std::vector<row> rows {
+        { "first line", "HTTP/1.1 200 ", many },
+        { "one header line", "HTTP/1.1 200 OK\r\nX-More: ", many },
+        { "header lines", "HTTP/1.1 200 OK\r\n", "X-More: " + many + "\r\n" },
+        { "body until close", "HTTP/1.1 200 OK\r\n\r\n", many },
+        { "body in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "4000\r\n" + many + "\r\n" },
+    };
+    for (const row& item : rows) {
+        CAPTURE(item.name);
+        event_loop loop;
+        flooding_server server(loop, item.start, item.flood);
+        http_client client(loop);
+        base::result<http_response> outcome = http_response {};
+        client.send({ .to = { .address = "127.0.0.1", .port = server.port },
+                        .method = "GET",
+                        .target = "/",
+                        .timeout = std::chrono::seconds(20),
+                        .maxResponseBytes = 1 << 20 },
+            [&](base::result<http_response> result) {
+                outcome = std::move(result);
+                loop.stop();
+            });
+        loop.run();
+        REQUIRE_FALSE(outcome);
+        CHECK(outcome.error().reason != base::error_reason::DeadlineExceeded);
+        CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
+        CHECK(server.sentBytes < (16U << 20));
+    }
+}
+
 TEST_CASE("a request and its response are transferred completely")
 {
     // Guards against lost headers, query parameters and bodies, and against invalid reuse of connections.
