Log the end of a target, and all shared parts of a request

The logs name only the last shared part of a lost request and describe a reset connection, a broken answer and the end of a target in the same words, so that the hypotheses (one part ends targets, repeats do, cold targets are overloaded) can't be told apart. Timeouts of the kernel are told from a close or reset. Routing, retries and answers are unchanged. Conclusion: a lost request can now be assigned to the end of its target.

--- a/src/libs/net/net.h
+++ b/src/libs/net/net.h
@@ -4,6 +4,7 @@
 /// Public header of the net library: event loop, HTTP based on libevhtp and evhttp, server-sent events and
 /// datagrams.
 
+#include "connection_probe.h"
 #include "event_loop.h"
 #include "http_client.h"
 #include "http_server.h"
--- a/src/libs/relay/event_scanner.cpp
+++ b/src/libs/relay/event_scanner.cpp
@@ -52,4 +52,18 @@
     }
 }
 
+void event_boundary::feed(std::string_view chunk)
+{
+    for (const char byte : chunk) {
+        if (byte == '\r')
+            continue;
+        if (byte == '\n' && m_atLineStart) {
+            m_hasEvent = m_hasEvent || m_insideEvent;
+            m_insideEvent = false;
+        }
+        m_atLineStart = byte == '\n';
+        m_insideEvent = m_insideEvent || byte != '\n';
+    }
+}
+
 } // namespace marigold::relay
--- a/src/libs/relay/event_scanner.h
+++ b/src/libs/relay/event_scanner.h
@@ -33,4 +33,22 @@
     std::string m_lastId;
 };
 
+/// Tracks whether a stream of server-sent events is inside an event. Stores nothing of the stream.
+class event_boundary {
+public:
+    /// Adds the next bytes of the stream.
+    void feed(std::string_view chunk);
+
+    /// Returns true if the last event is incomplete.
+    bool insideEvent() const { return m_insideEvent; }
+
+    /// Returns true if at least one event is complete.
+    bool hasEvent() const { return m_hasEvent; }
+
+private:
+    bool m_insideEvent = false;
+    bool m_hasEvent = false;
+    bool m_atLineStart = true;
+};
+
 } // namespace marigold::relay
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -13,14 +13,15 @@
     = "A request was answered or aborted; fields: request, route, outcome, status, verdict, "
       "attempts, target (of the last send), age_ms, placed_ms (arrival to last send), expected_ms (to the "
       "first token, at that send), first_ms, pause_ms (longest between two chunks of the answer), "
-      "prompt_tokens, shared_tokens, kept_tokens, scope, part, "
-      "config, reason.",
+      "prompt_tokens, shared_tokens, kept_tokens, scope, part, parts (all shared ones), "
+      "answer (none, begun or event: what was received of the last one), config, reason.",
     .action = "" };
 
 inline constexpr base::event_definition attemptFailed { .id = "MB-2002",
     .level = base::log_level::Info,
     .name = "relay_attempt_failed",
-    .meaning = "An attempt at a target failed; fields: request, target, verdict, reason, retry, age_ms.",
+    .meaning = "An attempt at a target failed; fields: request, target, verdict, reason, "
+               "answer (none, begun or event: what was received of it), retry, age_ms.",
     .action = "" };
 
 inline constexpr base::event_definition configInForce { .id = "MB-2003",
@@ -112,11 +113,21 @@
     .meaning
     = "A request was sent to a target; fields: request, target, attempt, waited_ms, expected_ms (to the "
       "first token), own_requests and peer_requests (at the target before, of this process and, as "
-      "last reported, of the others), prefill_tokens (queued there), weights, kept_tokens, config.",
+      "last reported, of the others), prefill_tokens (queued there), cold (whether the target is), weights, "
+      "kept_tokens, config.",
     .action = "" };
 
+inline constexpr base::event_definition targetEnded { .id = "MB-2017",
+    .level = base::log_level::Warning,
+    .name = "relay_target_ended",
+    .meaning
+    = "A target ended while requests of this process ran at it; fields: target, requests (those that "
+      "were lost before one event of their answer, at most four), begun (how many of them had the "
+      "head of an answer), parts (the shared parts of the first).",
+    .action = "If the same part is named again and again, see OPERATIONS.md, Parts that end targets." };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
-    processState, contextFreed, linesDropped, processPaused, requestPlaced };
+    processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded };
 
 } // namespace marigold::relay::events
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <csignal>
 
+#include <fmt/format.h>
+
 namespace marigold::relay {
 
 namespace {
@@ -40,6 +42,15 @@
               .coldFactor = m_options.coldFactor,
               .coldSlack = m_options.coldSlack })
     , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
+    , m_probe(loop)
+    , m_targetEnds(
+          loop, time,
+          [this](const net::endpoint& address, base::duration timeout, net::connection_probe::handler done) {
+              m_probe.probe(address, timeout, std::move(done));
+          },
+          [this](const target_registration& target, std::string_view,
+              const std::vector<lost_request>& requests) { targetEnded(target, requests); },
+          {})
     , m_catalog(time, {})
     , m_waitQueue(loop, time, {})
     , m_metrics(ports.metrics)
@@ -54,6 +65,7 @@
         .pool = m_pool,
         .targets = m_targets,
         .chooser = m_chooser,
+        .targetEnds = m_targetEnds,
         .context = m_catalog,
         .waitQueue = m_waitQueue,
         .metrics = m_metrics,
@@ -241,6 +253,17 @@
     m_loadExchange.received(bytes);
 }
 
+void relay_server::targetEnded(const target_registration& target, const std::vector<lost_request>& requests)
+{
+    if (requests.empty())
+        return;
+    const auto begun = std::ranges::count_if(requests, &lost_request::answerBegun);
+    m_log.write(events::targetEnded,
+        { { "target", target.id }, { "requests", std::to_string(requests.size()) },
+            { "begun", std::to_string(begun) },
+            { "parts", fmt::format("{}", fmt::join(requests.front().sharedParts, ",")) } });
+}
+
 struct relay_server::state_visitor {
     relay_server& self;
 
@@ -257,6 +280,7 @@
             self.m_log.write(events::targetChanged,
                 { { "target", target.id }, { "service", target.service }, { "change", "drains" } });
         self.m_targets.put(target);
+        self.m_targetEnds.targetRegistered(target);
     }
 
     void operator()(const wanted_weights& named) const
@@ -295,6 +319,7 @@
     if (const auto* target = std::get_if<target_registration>(&item)) {
         m_log.write(events::targetChanged, { { "target", target->id }, { "change", "left" } });
         m_targets.remove(target->id);
+        m_targetEnds.targetRemoved(target->id);
     } else if (const auto* excluded = std::get_if<excluded_domain>(&item)) {
         m_excluded.erase(excluded->failureDomain);
         applyExcluded();
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -94,6 +94,7 @@
     void finishDrainIfIdle();
     void finishDrain();
     void datagramReceived(std::string_view bytes);
+    void targetEnded(const target_registration& target, const std::vector<lost_request>& requests);
 
     net::event_loop& m_loop;
     const base::clock& m_clock;
@@ -104,6 +105,8 @@
     target_pool m_pool;
     target_registry m_targets;
     target_chooser m_chooser;
+    net::connection_probe m_probe;
+    target_end_detector m_targetEnds;
     context_catalog m_catalog;
     wait_queue m_waitQueue;
     relay_metrics& m_metrics;
--- a/src/libs/relay/relay_services.h
+++ b/src/libs/relay/relay_services.h
@@ -5,6 +5,7 @@
 #include "relay_metrics.h"
 #include "retry_budgets.h"
 #include "target_chooser.h"
+#include "target_end_detector.h"
 #include "target_pool.h"
 #include "target_registry.h"
 #include "wait_queue.h"
@@ -28,6 +29,7 @@
     target_pool& pool;
     target_registry& targets;
     target_chooser& chooser;
+    target_end_detector& targetEnds;
     context_catalog& context;
     wait_queue& waitQueue;
     relay_metrics& metrics;
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -216,6 +216,14 @@
     return now() - prefill <= m_fetchDeadline;
 }
 
+std::vector<std::string> relay_session::sharedParts() const
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i)
+        names.push_back(m_request.parts[i].id);
+    return names;
+}
+
 std::string relay_session::requestText(const target_record& target) const
 {
     const auto& versions = target.registration.weightVersions;
@@ -249,8 +257,8 @@
             { "own_requests", number(target.own.requests) },
             { "peer_requests", number(target.peers.requests) },
             { "prefill_tokens", number(target.own.prefillTokens + target.peers.prefillTokens) },
-            { "weights", number(weightVersion) }, { "kept_tokens", number(m_context.cachedTokens) },
-            { "config", number(m_config->version()) } });
+            { "cold", now() < target.coldUntil ? "yes" : "no" }, { "weights", number(weightVersion) },
+            { "kept_tokens", number(m_context.cachedTokens) }, { "config", number(m_config->version()) } });
 }
 
 bool relay_session::send(target_record& target)
@@ -279,6 +287,8 @@
     m_fetchDeadline = fetchDeadline();
     m_lastTarget = target.registration.id;
     m_answer = answer_state::None;
+    m_answerBegun = false;
+    m_boundary = {};
     ++m_sends;
     ++m_possibleRuns;
     m_connection->send(requestText(target), *this);
@@ -349,6 +359,8 @@
             { "shared_tokens", std::to_string(m_request.sharedTokens()) },
             { "kept_tokens", std::to_string(m_context.cachedTokens) }, { "scope", m_scope },
             { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
+            { "parts", fmt::format("{}", fmt::join(sharedParts(), ",")) },
+            { "answer", std::string(answerProgress()) },
             { "config", m_config ? std::to_string(m_config->version()) : "-" },
             { "reason", std::string(reason) } });
     m_onFinished(*this);
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -74,6 +74,9 @@
     void scheduleDiscardEnd(base::duration delay);
     void endlessEvent();
     bool mayRetry(base::verdict verdict) const;
+    std::vector<std::string> sharedParts() const;
+    std::string_view answerProgress() const;
+    void reportLost();
     void beginForwarding();
     void sendOwnAnswer(int status, base::duration retryAfter, std::string_view reason);
     void deadlineReached();
@@ -128,6 +131,8 @@
     message_head m_answerHead;
     std::string m_collected;
     event_scanner m_events;
+    event_boundary m_boundary; ///< Of the stream of the last answer.
+    bool m_answerBegun = false; ///< The head of the last answer was received.
     bool m_callerHasHead = false;
     bool m_ended = false;
     std::optional<base::duration> m_firstByteAfter;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -34,6 +34,7 @@
         return false;
     m_services.targets.bytesReceived(*m_target);
     m_answerHead = head;
+    m_answerBegun = true;
     if (answer.weightVersion)
         m_services.targets.observeVersion(*m_target, m_request.model, *answer.weightVersion);
     if (answer.notRun || head.status == http_status::misdirectedRequest) {
@@ -77,6 +78,7 @@
 void relay_session::answerChunk(std::string_view chunk)
 {
     m_services.targets.bytesReceived(*m_target);
+    m_boundary.feed(chunk);
     if (m_firstTokenReceived)
         m_longestPause = std::max(m_longestPause, now() - m_lastChunkAt);
     m_lastChunkAt = now();
@@ -205,8 +207,24 @@
     finish(relay_outcome::Answered, m_answerHead.status, {});
 }
 
+std::string_view relay_session::answerProgress() const
+{
+    if (!m_answerBegun)
+        return "none";
+    return m_boundary.hasEvent() ? "event" : "begun";
+}
+
+void relay_session::reportLost()
+{
+    if (m_request.parts.size() > 1 && !m_boundary.hasEvent())
+        m_services.targetEnds.requestLost(m_target->registration,
+            { .id = m_request.attemptId, .sharedParts = sharedParts(), .answerBegun = m_answerBegun });
+}
+
 void relay_session::answerFails(const base::error& failure)
 {
+    if (failure.reason == base::error_reason::StreamBroken)
+        reportLost();
     m_services.targets.observe(*m_target, true);
     if (failure.verdict == base::verdict::NotRun)
         --m_possibleRuns;
@@ -228,7 +246,8 @@
     m_services.log.write(events::attemptFailed,
         { { "request", m_request.attemptId }, { "target", target },
             { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
-            { "retry", retry ? "yes" : "no" }, { "age_ms", std::to_string(elapsed().count() / 1000) } });
+            { "answer", std::string(answerProgress()) }, { "retry", retry ? "yes" : "no" },
+            { "age_ms", std::to_string(elapsed().count() / 1000) } });
     if (retry)
         return dispatch();
     if (m_verdict == base::verdict::NotRun)
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,6 +13,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <fmt/format.h>
 
 namespace marigold::relay {
@@ -141,8 +143,13 @@
         if (!connection->m_skippingAnswer)
             return connection->answerCompleted();
     }
-    connection->fail(
-        connection->m_connected ? "connection lost before the answer was complete" : "connection refused");
+    if (!connection->m_connected)
+        return connection->fail("connection refused");
+    // Timeouts of the kernel tell of the network; a close or reset is an act of the target.
+    const bool timedOut = !orderly && EVUTIL_SOCKET_ERROR() == ETIMEDOUT;
+    connection->fail(timedOut ? "connection timed out before the answer was complete"
+                              : "connection lost before the answer was complete",
+        timedOut ? base::error_reason::Unavailable : base::error_reason::StreamBroken);
 }
 
 void target_connection::headParsed(message_head&& head)
@@ -218,14 +225,14 @@
     handler->answerEnds();
 }
 
-void target_connection::fail(std::string message)
+void target_connection::fail(std::string message, base::error_reason reason)
 {
     answer_handler* handler = std::exchange(m_handler, nullptr);
     const bool connected = m_connected;
     close();
     if (handler)
         handler->answerFails({ .verdict = connected ? base::verdict::MayHaveRun : base::verdict::NotRun,
-            .reason = base::error_reason::Unavailable,
+            .reason = reason,
             .message = std::move(message) });
 }
 
--- a/src/libs/relay/target_connection.h
+++ b/src/libs/relay/target_connection.h
@@ -28,7 +28,7 @@
     virtual void answerEnds() = 0;
 
     /// No complete answer will be received. The verdict says whether the target may have received the
-    /// request.
+    /// request; the reason is `StreamBroken` if the target closed or reset the connection.
     virtual void answerFails(const base::error& failure) = 0;
 };
 
@@ -84,7 +84,7 @@
     void parse();
     void headParsed(message_head&& head);
     void answerCompleted();
-    void fail(std::string message);
+    void fail(std::string message, base::error_reason reason = base::error_reason::Unavailable);
     void close();
     bool preambleWithinLimits(std::size_t newBytes);
     void stopPreambleTimer() { m_loop.cancel(std::exchange(m_preambleTimer, 0)); }
--- /dev/null
+++ b/src/libs/relay/target_end_detector.cpp
@@ -0,0 +1,113 @@
+#include "target_end_detector.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace marigold::relay {
+
+namespace {
+
+constexpr int maxProbes = 2;
+
+} // namespace
+
+target_end_detector::target_end_detector(
+    base::scheduler& timers, const base::clock& time, prober probe, ended_handler ended, options opts)
+    : m_timers(timers)
+    , m_clock(time)
+    , m_probe(std::move(probe))
+    , m_ended(std::move(ended))
+    , m_options(opts)
+{
+}
+
+std::string target_end_detector::incarnationOf(const target_registration& target)
+{
+    return fmt::format("{}/{}", target.id, target.startedAtMs);
+}
+
+void target_end_detector::requestLost(const target_registration& target, lost_request request)
+{
+    removeOld();
+    const std::string incarnation = incarnationOf(target);
+    loss& record = m_losses[incarnation];
+    record.target = target;
+    record.at = m_clock.now();
+    if (record.ended) {
+        m_ended(record.target, incarnation, { std::move(request) });
+        return;
+    }
+    const auto position = request.answerBegun
+        ? std::ranges::find_if(record.requests, [](const lost_request& item) { return !item.answerBegun; })
+        : record.requests.end();
+    record.requests.insert(position, std::move(request));
+    if (record.requests.size() > m_options.maxRequests)
+        record.requests.pop_back();
+    if (record.probes == 0)
+        m_timers.runAfter(m_options.settleTime, [this, incarnation] { probe(incarnation); });
+    record.probes = std::max(record.probes, 1);
+}
+
+void target_end_detector::probe(const std::string& incarnation)
+{
+    const auto found = m_losses.find(incarnation);
+    if (found == m_losses.end() || found->second.ended)
+        return;
+    m_probe(found->second.target.address, m_options.probeTimeout,
+        [this, incarnation](net::probe_result result) { probed(incarnation, result); });
+}
+
+void target_end_detector::probed(const std::string& incarnation, net::probe_result result)
+{
+    if (result == net::probe_result::Refused)
+        return confirm(incarnation);
+    const auto found = m_losses.find(incarnation);
+    if (found == m_losses.end() || found->second.ended)
+        return;
+    if (++found->second.probes > maxProbes) {
+        found->second.probes = 0; // The next loss is probed again.
+        return;
+    }
+    m_timers.runAfter(m_options.secondProbeDelay, [this, incarnation] { probe(incarnation); });
+}
+
+void target_end_detector::confirm(const std::string& incarnation)
+{
+    const auto found = m_losses.find(incarnation);
+    if (found == m_losses.end() || std::exchange(found->second.ended, true))
+        return;
+    const std::vector<lost_request> requests = std::exchange(found->second.requests, {});
+    m_ended(target_registration(found->second.target), incarnation, requests);
+}
+
+void target_end_detector::targetRegistered(const target_registration& target)
+{
+    removeOld();
+    const std::string incarnation = incarnationOf(target);
+    std::vector<std::string> replaced;
+    for (const auto& [name, record] : m_losses)
+        if (name != incarnation && (record.target.id == target.id || record.target.address == target.address))
+            replaced.push_back(name);
+    for (const std::string& name : replaced)
+        confirm(name);
+}
+
+void target_end_detector::targetRemoved(std::string_view id)
+{
+    removeOld();
+    std::vector<std::string> removed;
+    for (const auto& [name, record] : m_losses)
+        if (record.target.id == id)
+            removed.push_back(name);
+    for (const std::string& name : removed)
+        confirm(name);
+}
+
+void target_end_detector::removeOld()
+{
+    const base::time_point limit = m_clock.now() - m_options.memory;
+    std::erase_if(m_losses, [limit](const auto& entry) { return entry.second.at < limit; });
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/target_end_detector.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "relay_config.h"
+
+#include <base/base.h>
+#include <net/connection_probe.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marigold::relay {
+
+/// A request whose connection was lost before one event or the whole body of its answer was received.
+struct lost_request {
+    std::string id; ///< Id of the attempt.
+    std::vector<std::string> sharedParts = {}; ///< Names of the shared parts of its prompt, in order.
+    bool answerBegun = false; ///< The head of the answer was received.
+};
+
+/// Tells the end of a target from the loss of a connection.
+///
+/// A lost connection is followed by a probe of the target's address. If nothing listens there, or if the
+/// registration is removed or replaced soon afterwards, the target has ended.
+class target_end_detector {
+public:
+    struct options {
+        /// Time in which the connections of an ended target are noticed as lost, before the probe.
+        base::duration settleTime = std::chrono::milliseconds(5);
+        base::duration probeTimeout = std::chrono::milliseconds(300);
+        /// Delay of the second probe: an ending process may close its listening socket last.
+        base::duration secondProbeDelay = std::chrono::milliseconds(100);
+        /// Time after a loss in which a changed registration confirms the end of the target.
+        base::duration memory = std::chrono::seconds(5);
+        /// Requests that are kept for one target; those whose answer had begun come first.
+        std::size_t maxRequests = 4;
+    };
+
+    using prober = std::function<void(
+        const net::endpoint& address, base::duration timeout, net::connection_probe::handler done)>;
+    using ended_handler = std::function<void(const target_registration& target, std::string_view incarnation,
+        const std::vector<lost_request>& requests)>;
+
+    target_end_detector(
+        base::scheduler& timers, const base::clock& time, prober probe, ended_handler ended, options opts);
+
+    /// Records that \a target closed the connection of \a request.
+    void requestLost(const target_registration& target, lost_request request);
+
+    /// Records a registration; a new one at the address of a target confirms that it has ended.
+    void targetRegistered(const target_registration& target);
+    void targetRemoved(std::string_view id);
+
+    /// Returns the name of one run of \a target: its id with its start time, since a restarted target may
+    /// keep its id.
+    static std::string incarnationOf(const target_registration& target);
+
+private:
+    struct loss {
+        target_registration target;
+        std::vector<lost_request> requests;
+        base::time_point at {};
+        int probes = 0;
+        bool ended = false;
+    };
+
+    void probe(const std::string& incarnation);
+    void probed(const std::string& incarnation, net::probe_result result);
+    void confirm(const std::string& incarnation);
+    void removeOld();
+
+    base::scheduler& m_timers;
+    const base::clock& m_clock;
+    prober m_probe;
+    ended_handler m_ended;
+    options m_options;
+    std::map<std::string, loss, std::less<>> m_losses; ///< By incarnation.
+};
+
+} // namespace marigold::relay
