--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -126,8 +126,24 @@
       "head of an answer), parts (the shared parts of the first).",
     .action = "If the same part is named again and again, see OPERATIONS.md, Parts that end targets." };
 
+inline constexpr base::event_definition partBlocked { .id = "MB-2018",
+    .level = base::log_level::Warning,
+    .name = "relay_part_blocked",
+    .meaning
+    = "No request with a part of a prompt is sent any more, since targets ended when they began to "
+      "answer such requests, or since an operator or another process has said so; written again if the "
+      "evidence gets narrower; fields: part, with (parts that a request must have to be refused), ends.",
+    .action = "See OPERATIONS.md, Parts that end targets." };
+
+inline constexpr base::event_definition partReleased { .id = "MB-2019",
+    .level = base::log_level::Info,
+    .name = "relay_part_released",
+    .meaning = "Requests with a part that was blocked are sent again; fields: part, reason.",
+    .action = "" };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
-    processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded };
+    processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded, partBlocked,
+    partReleased };
 
 } // namespace marigold::relay::events
--- /dev/null
+++ b/src/libs/relay/part_quarantine.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include <base/base.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marigold::relay {
+
+/// Returns the name under which \a part is known to the quarantine. Requests of an isolated team share no
+/// names with others; \a isolatedTeam is empty for all other teams.
+std::string scopedPartName(std::string_view model, std::string_view isolatedTeam, std::string_view part);
+
+/// Evidence of one request against the shared parts of its prompt: its target ended before the request had
+/// one whole event of its answer.
+struct target_end {
+    std::string target; ///< Incarnation of the target.
+    std::vector<std::string> parts = {}; ///< Names of the shared parts, in order.
+    /// Those of `parts` with which a request was answered shortly before, as far as the reporter knows.
+    std::vector<std::string> soundParts = {};
+    bool answerBegun = false; ///< The head of the answer had been received.
+};
+
+/// A part with which no request is sent to a target.
+struct blocked_part {
+    std::string part;
+    /// Parts that every request under which targets ended has in common, with \a part. Only requests with all
+    /// of them are refused.
+    std::vector<std::string> with = {};
+    int ends = 0; ///< Targets that ended.
+    std::vector<std::string> targets = {}; ///< Incarnations of some of them, the last ones.
+};
+
+/// One process sends one request with a blocked part, to find out whether it is still harmful.
+struct trial_start {
+    std::string part;
+    int number = 0; ///< Of the trials with the part.
+};
+
+/// A part of which a process knows that a request with it was answered.
+struct sound_part {
+    std::string part;
+    /// The answer came after the evidence against the part, which is thereby refuted. Otherwise, more
+    /// evidence is required.
+    bool refutes = false;
+};
+
+/// Decides which parts of prompts end the targets that begin to answer them, from the ends that all processes
+/// have seen.
+///
+/// A part is blocked if targets ended under it repeatedly and no request with it was answered in between. An
+/// end is evidence against all shared parts of the request, so that three rules protect sound ones: an answer
+/// clears every part of its prompt; of parts that were answered shortly before, more ends are required,
+/// spread over some time, since many targets may end at once for another reason; and an end that a blocked
+/// part explains is no evidence against others. A request is refused only if it has all parts that the
+/// evidence against the blocked part has in common.
+class part_quarantine {
+public:
+    struct options {
+        /// Weight of an end under a request whose answer had not begun: it may have waited at the target.
+        double unbegunWeight = 0.5;
+        /// Weight of the ends that block a part.
+        double blockWeight = 2;
+        /// The same for a part with which a request was answered within `soundTime` before.
+        double soundBlockWeight = 4;
+        /// Ends within this time of each other count once.
+        base::duration separation = std::chrono::milliseconds(100);
+        /// The same for a part that was answered shortly before.
+        base::duration soundSeparation = std::chrono::milliseconds(300);
+        base::duration soundTime = std::chrono::seconds(60);
+        /// Time for which ends count, and for which a part is blocked for the first time. Doubled each time
+        /// that it is blocked again.
+        base::duration blockTime = std::chrono::minutes(10);
+        base::duration maxBlockTime = std::chrono::hours(4);
+        /// Time after the end of a block in which one end blocks the part again.
+        base::duration probation = std::chrono::hours(4);
+        /// Time from a block to the first trial, and its growth from trial to trial.
+        base::duration trialInterval = std::chrono::seconds(20);
+        int trialGrowth = 3;
+        std::size_t maxEnds = 128;
+        std::size_t maxBlocks = 1024;
+        std::size_t maxAnswered = 4096;
+    };
+
+    /// Reports of changes; each may be empty.
+    struct observer {
+        std::function<void(const blocked_part&)> blocked = {}; ///< Also when fewer parts are required.
+        std::function<void(std::string_view part, std::string_view reason)> released = {};
+        /// The other processes need to know that a part was answered here, before or after the evidence.
+        std::function<void(const sound_part&)> sound = {};
+    };
+
+    part_quarantine(const base::clock& time, observer calls, options opts);
+
+    /// Adds the evidence of this or another process. Ends that are known already are ignored.
+    void targetEnded(const target_end& end);
+
+    /// Records that a request of this process with \a parts was answered.
+    void answered(std::span<const std::string> parts);
+
+    /// Records that another process answered a request.
+    void soundReported(const sound_part& report);
+
+    /// Adopts the decision of another process or of an operator. A decision of an operator stays in force
+    /// until it is withdrawn, whatever is answered.
+    void blockReported(const blocked_part& block, bool byOperator = false);
+
+    /// Withdraws the decision of an operator.
+    void withdrawn(std::string_view part);
+
+    /// Returns the number of the next trial with \a part if one is due; only blocked parts that no operator
+    /// has blocked are tried.
+    std::optional<int> dueTrial(std::string_view part) const;
+
+    /// Records that a process has started a trial.
+    void trialStarted(const trial_start& trial);
+
+    /// Returns the block that forbids to send a request with \a parts; null if there is none.
+    const blocked_part* find(std::span<const std::string> parts) const;
+
+    /// Returns the time until the block of \a part ends.
+    base::duration remaining(std::string_view part) const;
+
+    /// Returns those of \a parts with which a request was answered here within `soundTime`.
+    std::vector<std::string> answeredHere(std::span<const std::string> parts) const;
+
+    /// Ends blocks whose time is over, and forgets old evidence. To be called periodically.
+    void removeExpired();
+
+    std::vector<blocked_part> blocks() const;
+
+    /// Returns the blocks that no operator has set.
+    std::vector<blocked_part> ownBlocks() const;
+    std::size_t suspects() const { return m_suspects.size(); }
+    std::size_t evidence() const { return m_ends.size(); }
+
+private:
+    /// The evidence of one ended target.
+    struct end_record {
+        std::string target;
+        base::time_point at {};
+        std::vector<target_end> requests;
+        bool answerBegun = false; ///< Of any of the requests.
+    };
+    struct suspect {
+        bool sound = false; ///< Was answered shortly before the evidence.
+        base::time_point clearedAt = base::time_point::min(); ///< Evidence up to then is refuted.
+        int mentions = 0; ///< At least the number of targets that ended under it since.
+    };
+    struct block_record {
+        blocked_part block;
+        base::time_point until {};
+        bool byOperator = false;
+        int trials = 0;
+        base::time_point nextTrial {};
+    };
+    struct conviction {
+        int count = 0;
+        base::time_point probationUntil {};
+    };
+    using evidence_list = std::vector<const end_record*>;
+    using target_set = std::set<std::string, std::less<>>;
+
+    bool accuses(const end_record& end, const target_end& request, std::string_view part) const;
+    evidence_list evidenceAgainst(std::string_view part, const target_set& explained) const;
+    double weightOf(std::string_view part, const evidence_list& evidence) const;
+    double requiredWeight(std::string_view part) const;
+    std::vector<std::string> commonParts(std::string_view part, const evidence_list& evidence) const;
+    bool wasAnswered(std::string_view part) const;
+    bool isRefuted(const blocked_part& block) const;
+    void addEvidence(const blocked_part& block);
+    void clear(std::string_view part, std::string_view reason);
+    void recompute();
+    void block(std::string_view part, const evidence_list& evidence);
+    void addBlock(const blocked_part& block, bool byOperator);
+    void removeBlock(std::string_view part, std::string_view reason);
+    void retainSuspects();
+
+    const base::clock& m_clock;
+    observer m_calls;
+    options m_options;
+    std::vector<end_record> m_ends; ///< Oldest first.
+    std::map<std::string, suspect, std::less<>> m_suspects; ///< Parts with evidence against them.
+    std::map<std::string, block_record, std::less<>> m_blocks;
+    std::map<std::string, conviction, std::less<>> m_convictions;
+    std::unordered_map<std::uint64_t, base::time_point> m_answered; ///< By hash of the part.
+};
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/quarantine_exchange.cpp
@@ -0,0 +1,291 @@
+#include "quarantine_exchange.h"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+
+#include <fmt/format.h>
+
+namespace marigold::relay {
+
+quarantine_exchange::quarantine_exchange(part_quarantine& parts, platform::kv_store& store,
+    const state_decoder& decoder, base::scheduler& timers, const base::clock& time,
+    base::random_source& random, sender send, options opts)
+    : m_parts(parts)
+    , m_store(store)
+    , m_decoder(decoder)
+    , m_timers(timers)
+    , m_clock(time)
+    , m_random(random)
+    , m_send(std::move(send))
+    , m_options(std::move(opts))
+{
+}
+
+void quarantine_exchange::setPeers(std::map<std::string, net::endpoint> peers)
+{
+    m_peers.clear();
+    m_peers.insert(peers.begin(), peers.end());
+    m_peers.erase(m_options.process);
+}
+
+base::duration quarantine_exchange::randomDelay(base::duration shortest, base::duration longest)
+{
+    const auto span = static_cast<double>((longest - shortest).count());
+    return shortest + base::duration(static_cast<std::int64_t>(span * m_random.uniform()));
+}
+
+void quarantine_exchange::targetEnded(const target_end& end)
+{
+    target_end reported = end;
+    reported.soundParts = m_parts.answeredHere(end.parts);
+    publish(reported);
+    m_isOwnEvidence = true;
+    m_parts.targetEnded(reported);
+    m_isOwnEvidence = false;
+}
+
+void quarantine_exchange::partBlocked(const blocked_part& block)
+{
+    if (m_isOwnEvidence)
+        return publish(block);
+    if (const auto known = m_unwrittenBlocks.find(block.part); known != m_unwrittenBlocks.end())
+        m_timers.cancel(known->second);
+    m_unwrittenBlocks[block.part]
+        = m_timers.runAfter(randomDelay(m_options.minBlockDelay, m_options.maxBlockDelay), [this, block] {
+              m_unwrittenBlocks.erase(block.part);
+              const std::vector<blocked_part> blocks = m_parts.blocks();
+              if (std::ranges::find(blocks, block.part, &blocked_part::part) != blocks.end())
+                  publish(block);
+          });
+}
+
+void quarantine_exchange::partSound(const sound_part& report)
+{
+    const auto known = m_pendingSounds.find(report.part);
+    if (known != m_pendingSounds.end()) {
+        known->second.report.refutes = known->second.report.refutes || report.refutes;
+        return;
+    }
+    const base::timer_id timer = m_timers.runAfter(
+        randomDelay(base::duration::zero(), m_options.maxSoundDelay), [this, part = report.part] {
+            const auto found = m_pendingSounds.find(part);
+            const sound_part due = found->second.report;
+            m_pendingSounds.erase(found);
+            publish(due);
+        });
+    m_pendingSounds.emplace(report.part, pending_sound { .report = report, .timer = timer });
+}
+
+void quarantine_exchange::cancelSound(std::string_view part)
+{
+    const auto found = m_pendingSounds.find(part);
+    if (found == m_pendingSounds.end())
+        return;
+    m_timers.cancel(found->second.timer);
+    m_pendingSounds.erase(found);
+}
+
+void quarantine_exchange::publish(quarantine_record record)
+{
+    if (m_unwritten.size() >= m_options.maxPending)
+        m_unwritten.erase(m_unwritten.begin());
+    m_unwritten.push_back({ .sequence = ++m_sequence, .record = std::move(record) });
+    scheduleWrite(base::duration::zero());
+    const std::string datagram
+        = encodeDatagram({ .process = m_options.process, .records = { m_unwritten.back() } });
+    sendToAll(datagram);
+    for (const base::duration delay : m_options.repeats)
+        m_timers.runAfter(delay, [this, datagram] { sendToAll(datagram); });
+}
+
+void quarantine_exchange::sendToAll(const std::string& datagram)
+{
+    for (const auto& [process, address] : m_peers)
+        m_send(address, datagram);
+}
+
+void quarantine_exchange::scheduleWrite(base::duration delay)
+{
+    if (m_unwritten.empty() || std::exchange(m_writeScheduled, true))
+        return;
+    m_timers.runAfter(delay, [this] { write(); });
+}
+
+void quarantine_exchange::withLease(std::function<void(base::result<std::uint64_t>)> done)
+{
+    if (m_lease != 0 && m_clock.now() - m_leaseGrantedAt <= m_options.leaseRenewal)
+        return done(m_lease);
+    m_store.grantLease(
+        m_options.recordTime, [this, done = std::move(done)](base::result<std::uint64_t> lease) {
+            if (lease) {
+                m_lease = *lease;
+                m_leaseGrantedAt = m_clock.now();
+            }
+            done(lease);
+        });
+}
+
+void quarantine_exchange::write()
+{
+    withLease([this](base::result<std::uint64_t> lease) {
+        if (!lease)
+            return writeFailed(lease.error());
+        writeRecords();
+    });
+}
+
+void quarantine_exchange::writeRecords()
+{
+    const std::uint64_t last = m_unwritten.back().sequence;
+    m_store.put({ .key = m_decoder.quarantineKey(fmt::format("{}/{}", m_options.process, last)),
+                    .value = encodeText({ .process = m_options.process, .records = m_unwritten }),
+                    .lease = m_lease },
+        [this, last](base::result<std::uint64_t> revision) {
+            if (!revision)
+                return writeFailed(revision.error());
+            std::erase_if(m_unwritten, [last](const numbered_record& item) { return item.sequence <= last; });
+            m_writeScheduled = false;
+            scheduleWrite(m_options.writeInterval);
+        });
+}
+
+void quarantine_exchange::writeFailed(const base::error& failure)
+{
+    // The failed call is counted by the store's client; the records go to the others as datagrams as well.
+    if (failure.reason == base::error_reason::NotFound)
+        m_lease = 0; // Has expired, for example in an outage of the store.
+    m_writeScheduled = false;
+    scheduleWrite(m_options.retryDelay);
+}
+
+void quarantine_exchange::gossip()
+{
+    const std::vector<blocked_part> blocks = m_parts.ownBlocks();
+    quarantine_batch batch { .process = m_options.process };
+    for (std::size_t i = 0; i < std::min(blocks.size(), m_options.maxGossipBlocks); ++i)
+        batch.records.push_back({ .record = blocks[m_nextGossip++ % blocks.size()] });
+    if (!batch.records.empty() && !m_peers.empty()) {
+        const std::string datagram = encodeDatagram(batch);
+        for (int i = 0; i < m_options.gossipFanout; ++i)
+            m_send(std::next(m_peers.begin(), static_cast<std::ptrdiff_t>(m_random.below(m_peers.size())))
+                       ->second,
+                datagram);
+    }
+    m_timers.runAfter(m_options.gossipInterval, [this] { gossip(); });
+}
+
+void quarantine_exchange::claimTrial(std::string_view part, int number, std::function<void(bool)> done)
+{
+    // Until the claim is decided, and if it is lost, this process starts no other one.
+    const trial_start trial { .part = std::string(part), .number = number };
+    m_parts.trialStarted(trial);
+    struct claim {
+        std::function<void(bool)> done;
+        void decide(bool granted)
+        {
+            if (const auto call = std::exchange(done, nullptr))
+                call(granted);
+        }
+    };
+    const auto pending = std::make_shared<claim>(claim { .done = std::move(done) });
+    m_timers.runAfter(m_options.claimTimeout, [pending] { pending->decide(false); });
+    withLease([this, trial, pending](base::result<std::uint64_t> lease) {
+        if (!lease)
+            return pending->decide(false);
+        const std::string name = fmt::format("trial/{:016x}/{}", base::hash64(trial.part), trial.number);
+        m_store.put(
+            { .key = m_decoder.quarantineKey(name),
+                .value = encodeText({ .process = m_options.process, .records = { { .record = trial } } }),
+                .expectedRevision = 0,
+                .lease = *lease },
+            [pending](base::result<std::uint64_t> created) { pending->decide(created.has_value()); });
+    });
+}
+
+bool quarantine_exchange::isNew(std::string_view process, std::uint64_t sequence)
+{
+    if (process == m_options.process)
+        return false;
+    if (sequence == 0)
+        return true;
+    if (m_knownRecords.size() >= m_options.maxKnownRecords)
+        m_knownRecords.clear(); // Records that are added again change little.
+    return m_knownRecords.emplace(process, sequence).second;
+}
+
+void quarantine_exchange::received(std::string_view bytes)
+{
+    const auto batch = decodeQuarantineDatagram(bytes);
+    // The port is open to any sender.
+    if (batch && m_peers.contains(batch->process))
+        apply(*batch);
+}
+
+void quarantine_exchange::apply(const quarantine_batch& batch)
+{
+    for (const numbered_record& item : batch.records)
+        if (isNew(batch.process, item.sequence))
+            apply(item.record);
+}
+
+void quarantine_exchange::apply(const quarantine_record& record)
+{
+    if (const auto* end = std::get_if<target_end>(&record)) {
+        m_parts.targetEnded(*end);
+    } else if (const auto* block = std::get_if<blocked_part>(&record)) {
+        m_parts.blockReported(*block);
+    } else if (const auto* sound = std::get_if<sound_part>(&record)) {
+        cancelSound(sound->part);
+        m_parts.soundReported(*sound);
+    } else if (const auto* trial = std::get_if<trial_start>(&record)) {
+        m_parts.trialStarted(*trial);
+    }
+}
+
+void quarantine_exchange::stored(const quarantine_entry& entry)
+{
+    if (entry.revision <= m_appliedRevision)
+        return;
+    m_appliedRevision = entry.revision;
+    if (entry.operatorBlock) {
+        m_operatorBlocks[entry.key] = entry.operatorBlock->part;
+        return m_parts.blockReported(*entry.operatorBlock, true);
+    }
+    for (const numbered_record& item : entry.batch.records)
+        if (const auto* block = std::get_if<blocked_part>(&item.record))
+            if (const auto waiting = m_unwrittenBlocks.find(block->part);
+                waiting != m_unwrittenBlocks.end()) {
+                m_timers.cancel(waiting->second);
+                m_unwrittenBlocks.erase(waiting);
+            }
+    apply(entry.batch);
+}
+
+void quarantine_exchange::snapshotRead(std::vector<quarantine_entry> entries)
+{
+    std::ranges::sort(entries, {}, &quarantine_entry::revision);
+    std::set<std::string> present;
+    for (const quarantine_entry& entry : entries) {
+        present.insert(entry.key);
+        stored(entry);
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, part] : m_operatorBlocks)
+        if (!present.contains(key))
+            gone.push_back(key);
+    for (const std::string& key : gone)
+        withdrawn(key);
+}
+
+void quarantine_exchange::withdrawn(std::string_view key)
+{
+    const auto found = m_operatorBlocks.find(key);
+    if (found == m_operatorBlocks.end())
+        return;
+    const std::string part = found->second;
+    m_operatorBlocks.erase(found);
+    m_parts.withdrawn(part);
+}
+
+} // namespace marigold::relay
--- /dev/null
+++ b/src/libs/relay/quarantine_record.cpp
@@ -0,0 +1,138 @@
+#include "quarantine_record.h"
+
+#include <functional>
+
+#include <nlohmann/json.hpp>
+
+namespace marigold::relay {
+
+namespace {
+
+using nlohmann::json;
+
+/// Limits of what is accepted from others, far above what a process sends.
+constexpr std::size_t maxParts = 64;
+constexpr std::size_t maxRecords = 256;
+constexpr std::size_t maxNameBytes = 512;
+
+struct encoder {
+    json operator()(const target_end& end) const
+    {
+        return { { "target", end.target }, { "parts", end.parts }, { "sound", end.soundParts },
+            { "begun", end.answerBegun } };
+    }
+    json operator()(const blocked_part& block) const
+    {
+        return { { "blocked", block.part }, { "with", block.with }, { "ends", block.ends },
+            { "targets", block.targets } };
+    }
+    json operator()(const trial_start& trial) const
+    {
+        return { { "tried", trial.part }, { "number", trial.number } };
+    }
+    json operator()(const sound_part& part) const
+    {
+        return { { "answered", part.part }, { "refutes", part.refutes } };
+    }
+};
+
+json valueOf(const quarantine_batch& batch)
+{
+    json records = json::array();
+    for (const numbered_record& item : batch.records) {
+        records.push_back(std::visit(encoder {}, item.record));
+        records.back()["sequence"] = item.sequence;
+    }
+    return { { "process", batch.process }, { "records", std::move(records) } };
+}
+
+std::string nameOf(const json& value)
+{
+    std::string name = value;
+    if (name.empty() || name.size() > maxNameBytes)
+        throw std::length_error("a name is empty or too long");
+    return name;
+}
+
+std::vector<std::string> namesOf(const json& value)
+{
+    if (value.size() > maxParts)
+        throw std::length_error("too many parts");
+    std::vector<std::string> names;
+    for (const json& item : value)
+        names.push_back(nameOf(item));
+    return names;
+}
+
+quarantine_record recordOf(const json& value)
+{
+    if (value.contains("begun"))
+        return target_end { .target = nameOf(value.at("target")),
+            .parts = namesOf(value.at("parts")),
+            .soundParts = namesOf(value.at("sound")),
+            .answerBegun = value.at("begun") };
+    if (value.contains("blocked"))
+        return blocked_part { .part = nameOf(value.at("blocked")),
+            .with = namesOf(value.at("with")),
+            .ends = value.at("ends"),
+            .targets = namesOf(value.at("targets")) };
+    if (value.contains("tried"))
+        return trial_start { .part = nameOf(value.at("tried")), .number = value.at("number") };
+    return sound_part { .part = nameOf(value.at("answered")), .refutes = value.at("refutes") };
+}
+
+quarantine_batch batchOf(const json& value)
+{
+    quarantine_batch batch { .process = nameOf(value.at("process")) };
+    if (value.at("records").size() > maxRecords)
+        throw std::length_error("too many records");
+    for (const json& item : value.at("records"))
+        batch.records.push_back({ .sequence = item.at("sequence"), .record = recordOf(item) });
+    return batch;
+}
+
+/// Returns the result of \a decode, with the exceptions of nlohmann/json and of the limits above as errors.
+template <typename T> base::result<T> decoded(const std::function<T()>& decode)
+{
+    try {
+        return decode();
+    } catch (const std::exception& problem) {
+        return base::notRun(base::error_reason::InvalidRequest, problem.what());
+    }
+}
+
+} // namespace
+
+std::string encodeText(const quarantine_batch& batch)
+{
+    return valueOf(batch).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string encodeDatagram(const quarantine_batch& batch)
+{
+    std::string bytes(1, quarantineDigestKind);
+    json::to_msgpack(valueOf(batch), bytes);
+    return bytes;
+}
+
+base::result<quarantine_batch> decodeQuarantineText(std::string_view text)
+{
+    return decoded<quarantine_batch>([text] { return batchOf(json::parse(text)); });
+}
+
+base::result<quarantine_batch> decodeQuarantineDatagram(std::string_view bytes)
+{
+    if (!bytes.starts_with(quarantineDigestKind))
+        return base::notRun(base::error_reason::InvalidRequest, "not a quarantine digest");
+    return decoded<quarantine_batch>([bytes] { return batchOf(json::from_msgpack(bytes.substr(1))); });
+}
+
+base::result<blocked_part> decodeOperatorBlock(std::string_view text)
+{
+    return decoded<blocked_part>([text] {
+        const std::string part = nameOf(json::parse(text).at("part"));
+        return blocked_part { .part = part, .with = { part } };
+    });
+}
+
+} // namespace marigold::relay
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -24,8 +24,9 @@
 }
 
 /// Refusal reasons of this process. Reasons that targets report are unbounded in number and counted as one.
-constexpr std::array<std::string_view, 9> ownReasons { "no_target", "targets_busy", "no_service",
-    "no_configuration", "no_route", "unknown_key", "time_limit", "stopping", "no_further_target" };
+constexpr std::array<std::string_view, 10> ownReasons { "no_target", "targets_busy", "no_service",
+    "no_configuration", "no_route", "unknown_key", "time_limit", "stopping", "no_further_target",
+    "part_blocked" };
 
 std::string reasonLabel(std::string_view reason)
 {
@@ -141,13 +142,15 @@
 
 std::string relay_metrics::exposition(const relay_gauges& gauges)
 {
-    const std::array<std::pair<const char*, double>, 10> values { {
+    const std::array<std::pair<const char*, double>, 12> values { {
         { "config_version", static_cast<double>(gauges.configVersion) },
         { "config_age_seconds", std::chrono::duration<double>(gauges.configAge).count() },
         { "targets", static_cast<double>(gauges.targets) },
         { "waiting_requests", static_cast<double>(gauges.waiting) },
         { "open_requests", static_cast<double>(gauges.requests) },
         { "caller_connections", static_cast<double>(gauges.callers) },
+        { "blocked_parts", static_cast<double>(gauges.blockedParts) },
+        { "suspect_parts", static_cast<double>(gauges.suspectParts) },
         { "processes", static_cast<double>(gauges.processes) },
         { "holds_order_lease", gauges.holdsOrderLease ? 1.0 : 0.0 },
         { "store_reachable", gauges.storeReachable ? 1.0 : 0.0 },
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -46,6 +46,8 @@
     std::size_t requests = 0;
     std::size_t callers = 0;
     int processes = 0;
+    std::size_t blockedParts = 0; ///< Parts of prompts that end targets.
+    std::size_t suspectParts = 0; ///< Parts under which a target ended lately.
     bool holdsOrderLease = false;
     bool storeReachable = false;
     base::duration loopLag { 0 }; ///< Longest delay of a timer since the metrics were last read.
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -48,8 +48,14 @@
           [this](const net::endpoint& address, base::duration timeout, net::connection_probe::handler done) {
               m_probe.probe(address, timeout, std::move(done));
           },
-          [this](const target_registration& target, std::string_view,
-              const std::vector<lost_request>& requests) { targetEnded(target, requests); },
+          [this](const target_registration& target, std::string_view incarnation,
+              const std::vector<lost_request>& requests) { targetEnded(target, incarnation, requests); },
+          {})
+    , m_quarantine(time,
+          { .blocked = [this](const blocked_part& block) { partBlocked(block); },
+              .released
+              = [this](std::string_view part, std::string_view reason) { partReleased(part, reason); },
+              .sound = [this](const sound_part& report) { m_quarantineExchange.partSound(report); } },
           {})
     , m_catalog(time, {})
     , m_waitQueue(loop, time, {})
@@ -66,15 +72,23 @@
         .targets = m_targets,
         .chooser = m_chooser,
         .targetEnds = m_targetEnds,
+        .quarantine = m_quarantine,
         .context = m_catalog,
         .waitQueue = m_waitQueue,
         .metrics = m_metrics,
         .retryBudgets = m_retryBudgets,
         .startedAt = time.now(),
+        .claimTrial =
+            [this](std::string_view part, int number, std::function<void(bool)> done) {
+                m_quarantineExchange.claimTrial(part, number, std::move(done));
+            },
         .config = nullptr }
     , m_follower(
           m_store, ports.decoder, loop, time, m_random, log, *this, { .changeLimit = m_options.changeLimit })
     , m_presence(m_store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
+    , m_quarantineExchange(m_quarantine, m_store, ports.decoder, loop, time, m_random,
+          [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
+          { .process = m_options.process })
     , m_lease(m_store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .takeoverDelay
@@ -99,8 +113,10 @@
           })
     , m_readiness(loop, m_options.readiness,
           [this](caller_connection& caller, message_head&&, std::string&&) { answerReadiness(caller); })
-    , m_metricsListener(loop, m_options.metrics,
-          [this](caller_connection& caller, message_head&&, std::string&&) { answerMetrics(caller); })
+    , m_metricsListener(
+          loop, m_options.metrics, [this](caller_connection& caller, message_head&& head, std::string&&) {
+              head.target == "/quarantine" ? answerQuarantine(caller) : answerMetrics(caller);
+          })
 {
 }
 
@@ -114,6 +130,7 @@
     if (auto bound = m_datagrams.bind(m_options.peers); !bound)
         return bound;
     m_loadExchange.start();
+    m_quarantineExchange.start();
     m_loop.runEvery(housekeepingInterval, [this] { runHousekeeping(); });
     m_loop.runEvery(responsivenessCheckInterval, [this] { checkResponsiveness(); });
     m_follower.start();
@@ -167,6 +184,8 @@
         .requests = m_sessions.size(),
         .callers = m_callers.connections(),
         .processes = static_cast<int>(m_processes.size()),
+        .blockedParts = m_quarantine.blocks().size(),
+        .suspectParts = m_quarantine.suspects(),
         .holdsOrderLease = m_lease.mayOrder(),
         .storeReachable = m_follower.isReachable(),
         .loopLag = std::exchange(m_loopLag, base::duration::zero()) };
@@ -181,6 +200,7 @@
     m_targets.setIsolated(!m_follower.isReachable());
     m_rollout.step();
     m_contextReclaimer.sweep();
+    m_quarantine.removeExpired();
 }
 
 void relay_server::checkResponsiveness()
@@ -236,6 +256,7 @@
     m_retryBudgets.setProcesses(ids);
     m_loadExchange.setPeers(m_processes);
     m_contextDistributor.setProcesses(m_processes);
+    m_quarantineExchange.setPeers(m_processes);
 }
 
 void relay_server::removeMissingProcesses()
@@ -250,10 +271,13 @@
     // Datagrams are hints, and the port is open to any sender: invalid ones are ignored without a log line.
     if (const auto digest = decodeContextDigest(bytes))
         return m_contextFollower.digestReceived(*digest);
+    if (bytes.starts_with(quarantineDigestKind))
+        return m_quarantineExchange.received(bytes);
     m_loadExchange.received(bytes);
 }
 
-void relay_server::targetEnded(const target_registration& target, const std::vector<lost_request>& requests)
+void relay_server::targetEnded(const target_registration& target, std::string_view incarnation,
+    const std::vector<lost_request>& requests)
 {
     if (requests.empty())
         return;
@@ -262,6 +286,44 @@
         { { "target", target.id }, { "requests", std::to_string(requests.size()) },
             { "begun", std::to_string(begun) },
             { "parts", fmt::format("{}", fmt::join(requests.front().sharedParts, ",")) } });
+    // One that waited is no evidence beside one that the target had begun to answer.
+    for (const lost_request& request : requests)
+        if (request.answerBegun || begun == 0)
+            m_quarantineExchange.targetEnded({ .target = std::string(incarnation),
+                .parts = request.sharedParts,
+                .answerBegun = request.answerBegun });
+}
+
+void relay_server::partBlocked(const blocked_part& block)
+{
+    m_log.write(events::partBlocked,
+        { { "part", block.part }, { "with", fmt::format("{}", fmt::join(block.with, ",")) },
+            { "ends", std::to_string(block.ends) } });
+    m_quarantineExchange.partBlocked(block);
+    // Requests that wait at a target end it when it begins to answer them. The block may have been found
+    // inside one of the sessions.
+    m_loop.runAfter(base::duration::zero(), [this] {
+        std::vector<relay_session*> sessions;
+        for (const auto& [key, session] : m_sessions)
+            sessions.push_back(key);
+        for (relay_session* session : sessions)
+            session->cancelBlocked();
+    });
+}
+
+void relay_server::partReleased(std::string_view part, std::string_view reason)
+{
+    m_log.write(events::partReleased, { { "part", std::string(part) }, { "reason", std::string(reason) } });
+}
+
+void relay_server::answerQuarantine(caller_connection& caller)
+{
+    std::string text;
+    for (const blocked_part& block : m_quarantine.blocks())
+        text += fmt::format("part={} with={} ends={} remaining_s={}\n", block.part,
+            fmt::join(block.with, ","), block.ends,
+            std::chrono::duration_cast<std::chrono::seconds>(m_quarantine.remaining(block.part)).count());
+    caller.answer(http_status::ok, { { "Content-Type", "text/plain" } }, text);
 }
 
 struct relay_server::state_visitor {
@@ -306,6 +368,14 @@
             self.applyProcesses();
     }
 
+    void operator()(const quarantine_entry& entry) const
+    {
+        if (self.m_replacing)
+            self.m_snapshotQuarantine.push_back(entry);
+        else
+            self.m_quarantineExchange.stored(entry);
+    }
+
     void operator()(const order_lease& lease) const { self.m_lease.leaseObserved(lease); }
 };
 
@@ -327,6 +397,8 @@
         if (m_processes.erase(process->id) > 0)
             m_missingProcesses.emplace(process->id, m_clock.now());
         applyProcesses();
+    } else if (const auto* entry = std::get_if<quarantine_entry>(&item)) {
+        m_quarantineExchange.withdrawn(entry->key);
     } else if (std::holds_alternative<order_lease>(item)) {
         m_lease.leaseObserved({});
     }
@@ -347,6 +419,7 @@
             targets.push_back(target->id);
     }
     m_replacing = false;
+    m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
     m_targets.retainTargets(targets);
     applyExcluded();
     applyProcesses();
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -7,6 +7,7 @@
 #include "load_exchange.h"
 #include "order_lease_holder.h"
 #include "presence.h"
+#include "quarantine_exchange.h"
 #include "relay_services.h"
 #include "relay_session.h"
 #include "state_follower.h"
@@ -94,7 +95,11 @@
     void finishDrainIfIdle();
     void finishDrain();
     void datagramReceived(std::string_view bytes);
-    void targetEnded(const target_registration& target, const std::vector<lost_request>& requests);
+    void targetEnded(const target_registration& target, std::string_view incarnation,
+        const std::vector<lost_request>& requests);
+    void partBlocked(const blocked_part& block);
+    void partReleased(std::string_view part, std::string_view reason);
+    void answerQuarantine(caller_connection& caller);
 
     net::event_loop& m_loop;
     const base::clock& m_clock;
@@ -107,6 +112,7 @@
     target_chooser m_chooser;
     net::connection_probe m_probe;
     target_end_detector m_targetEnds;
+    part_quarantine m_quarantine;
     context_catalog m_catalog;
     wait_queue m_waitQueue;
     relay_metrics& m_metrics;
@@ -117,6 +123,7 @@
     relay_services m_services;
     state_follower m_follower;
     presence m_presence;
+    quarantine_exchange m_quarantineExchange;
     order_lease_holder m_lease;
     weights_rollout m_rollout;
     context_event_distributor m_contextDistributor;
@@ -128,6 +135,7 @@
     /// while: registrations lapse in an outage of the store although the processes run.
     std::map<std::string, base::time_point, std::less<>> m_missingProcesses;
     bool m_replacing = false; ///< A whole snapshot is being applied; its processes are applied at its end.
+    std::vector<quarantine_entry> m_snapshotQuarantine; ///< Of that snapshot; applied at its end.
     std::unordered_map<relay_session*, std::unique_ptr<relay_session>> m_sessions;
     net::udp_socket m_datagrams;
     load_exchange m_loadExchange;
--- a/src/libs/relay/relay_services.h
+++ b/src/libs/relay/relay_services.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_catalog.h"
+#include "part_quarantine.h"
 #include "relay_config.h"
 #include "relay_metrics.h"
 #include "retry_budgets.h"
@@ -15,6 +16,7 @@
 #include <net/event_loop.h>
 #include <routing/routing.h>
 
+#include <functional>
 #include <memory>
 
 namespace marigold::relay {
@@ -30,11 +32,14 @@
     target_registry& targets;
     target_chooser& chooser;
     target_end_detector& targetEnds;
+    part_quarantine& quarantine;
     context_catalog& context;
     wait_queue& waitQueue;
     relay_metrics& metrics;
     retry_budgets& retryBudgets;
     base::time_point startedAt {}; ///< Start time of the process.
+    /// Claims a trial with a blocked part, by its name and the number of the trial.
+    std::function<void(std::string_view, int, std::function<void(bool)>)> claimTrial;
     std::shared_ptr<const relay_config> config; ///< Null until the first configuration is known.
 };
 
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -65,6 +65,7 @@
         return sendOwnAnswer(http_status::serviceUnavailable, unconfiguredRetryAfter(), "no_configuration");
     if (!resolveRoute())
         return;
+    m_sharedParts = scopedParts();
     const base::duration limit = std::min(m_route->timeout, m_request.timeLimit.value_or(m_route->timeout));
     m_deadline = m_arrivedAt + limit;
     const auto maxWait = maxQueueTimeFactor * static_cast<double>(m_route->latencyGoal.count());
@@ -163,6 +164,8 @@
 
 void relay_session::dispatch()
 {
+    if (refuseBlocked())
+        return;
     if (!m_services.waitQueue.mustWaitBehind(*this)) {
         const placement found = choose();
         if (found.outcome == placement_outcome::Chosen && send(*found.target))
@@ -177,6 +180,8 @@
 
 dispatch_result relay_session::tryDispatch()
 {
+    if (refuseBlocked())
+        return dispatch_result::Dispatched;
     const placement found = choose();
     m_lastChoice = found.outcome;
     if (found.outcome == placement_outcome::ContextBusy)
@@ -216,14 +221,63 @@
     return now() - prefill <= m_fetchDeadline;
 }
 
-std::vector<std::string> relay_session::sharedParts() const
+std::vector<std::string> relay_session::scopedParts() const
 {
+    const std::string_view isolatedTeam = m_team && m_team->isolated ? m_team->name : std::string_view();
     std::vector<std::string> names;
     for (std::size_t i = 0; i + 1 < m_request.parts.size(); ++i)
-        names.push_back(m_request.parts[i].id);
+        names.push_back(scopedPartName(m_request.model, isolatedTeam, m_request.parts[i].id));
     return names;
 }
 
+bool relay_session::refuseBlocked()
+{
+    const blocked_part* block = m_isTrial ? nullptr : m_services.quarantine.find(m_sharedParts);
+    if (!block)
+        return false;
+    if (claimTrial(*block))
+        return true;
+    m_isQueued = false;
+    const base::duration retryAfter = m_services.quarantine.remaining(block->part);
+    if (m_verdict == base::verdict::NotRun)
+        sendOwnAnswer(http_status::serviceUnavailable, retryAfter, "part_blocked");
+    else
+        sendOwnAnswer(http_status::badGateway, {}, "part_blocked");
+    return true;
+}
+
+bool relay_session::claimTrial(const blocked_part& block)
+{
+    const auto number = m_services.quarantine.dueTrial(block.part);
+    if (!number || m_isQueued || m_sends > 0)
+        return false;
+    m_isClaimingTrial = true;
+    m_services.claimTrial(block.part, *number, [this, alive = std::weak_ptr(m_alive)](bool granted) {
+        if (alive.expired() || m_ended)
+            return;
+        m_isClaimingTrial = false;
+        m_isTrial = granted;
+        dispatch();
+    });
+    return true;
+}
+
+void relay_session::cancelBlocked()
+{
+    if (m_ended || m_isTrial || m_isClaimingTrial || !m_services.quarantine.find(m_sharedParts))
+        return;
+    if (m_connection) {
+        if (m_answerBegun)
+            return; // Too late to spare the target, and the answer may be a sound one.
+        m_connection->cancel();
+        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
+        releaseTarget();
+    }
+    if (m_isQueued)
+        m_services.waitQueue.remove(*this);
+    refuseBlocked();
+}
+
 std::string relay_session::requestText(const target_record& target) const
 {
     const auto& versions = target.registration.weightVersions;
@@ -359,7 +413,7 @@
             { "shared_tokens", std::to_string(m_request.sharedTokens()) },
             { "kept_tokens", std::to_string(m_context.cachedTokens) }, { "scope", m_scope },
             { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
-            { "parts", fmt::format("{}", fmt::join(sharedParts(), ",")) },
+            { "parts", fmt::format("{}", fmt::join(m_sharedParts, ",")) },
             { "answer", std::string(answerProgress()) },
             { "config", m_config ? std::to_string(m_config->version()) : "-" },
             { "reason", std::string(reason) } });
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -7,6 +7,7 @@
 #include <outcome/outcome.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,6 +33,9 @@
     /// repeated. To be called periodically.
     void checkUnresponsive();
 
+    /// Ends the request if a part of its prompt has been blocked and its answer has not begun.
+    void cancelBlocked();
+
     void callerDisconnected() override;
     void callerWritable() override;
     bool answerBegins(const message_head& head) override;
@@ -74,7 +78,10 @@
     void scheduleDiscardEnd(base::duration delay);
     void endlessEvent();
     bool mayRetry(base::verdict verdict) const;
-    std::vector<std::string> sharedParts() const;
+    std::vector<std::string> scopedParts() const;
+    bool refuseBlocked();
+    bool claimTrial(const blocked_part& block);
+    void reportAnswered();
     std::string_view answerProgress() const;
     void reportLost();
     void beginForwarding();
@@ -101,9 +108,13 @@
     const route* m_route = nullptr;
     const service_info* m_service = nullptr;
     const team* m_team = nullptr;
+    std::vector<std::string> m_sharedParts; ///< Scoped names of the parts that other prompts may share.
     base::time_point m_arrivedAt;
     base::time_point m_deadline {};
     base::time_point m_waitDeadline {}; ///< End of the wait for a target with capacity.
+    bool m_isTrial = false; ///< Sent although a part of its prompt is blocked.
+    bool m_isClaimingTrial = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< For calls that may return too late.
     bool m_isQueued = false; ///< True while the request is in the wait queue.
     placement_outcome m_lastChoice = placement_outcome::Busy;
     base::timer_id m_deadlineTimer = 0;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -198,6 +198,7 @@
     m_services.targets.observe(*target, m_answerHead.status >= http_status::serverError);
     releaseTarget();
     m_verdict = base::verdict::Ran;
+    reportAnswered();
     if (answer == answer_state::Collecting) {
         m_caller->answer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
     } else {
@@ -216,9 +217,17 @@
 
 void relay_session::reportLost()
 {
-    if (m_request.parts.size() > 1 && !m_boundary.hasEvent())
+    if (!m_sharedParts.empty() && !m_boundary.hasEvent())
         m_services.targetEnds.requestLost(m_target->registration,
-            { .id = m_request.attemptId, .sharedParts = sharedParts(), .answerBegun = m_answerBegun });
+            { .id = m_request.attemptId, .sharedParts = m_sharedParts, .answerBegun = m_answerBegun });
+}
+
+void relay_session::reportAnswered()
+{
+    const bool success
+        = m_answerHead.status >= http_status::ok && m_answerHead.status < http_status::multipleChoices;
+    if (success && !m_sharedParts.empty() && (m_route->kind != request_kind::Stream || m_boundary.hasEvent()))
+        m_services.quarantine.answered(m_sharedParts);
 }
 
 void relay_session::answerFails(const base::error& failure)
--- a/src/libs/relay/state_decoder.h
+++ b/src/libs/relay/state_decoder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quarantine_record.h"
 #include "relay_config.h"
 
 #include <platform/kv_store.h>
@@ -34,9 +35,17 @@
     std::uint64_t token = 0; ///< Fencing token; increases with each holder.
 };
 
+/// What a process or an operator has stored of parts that end targets.
+struct quarantine_entry {
+    std::string key;
+    std::uint64_t revision = 0; ///< Of the store.
+    quarantine_batch batch = {};
+    std::optional<blocked_part> operatorBlock = {};
+};
+
 /// Meaning of an entry of the platform's store; `monostate` for an entry that is not used.
 using state_item = std::variant<std::monostate, std::shared_ptr<const relay_config>, target_registration,
-    wanted_weights, excluded_domain, running_process, order_lease>;
+    wanted_weights, excluded_domain, running_process, order_lease, quarantine_entry>;
 
 /// Interface to the format of the entries in the platform's store.
 class state_decoder {
@@ -55,6 +64,9 @@
 
     /// Returns the key of the lease on orders.
     virtual std::string orderLeaseKey() const = 0;
+
+    /// Returns the key of the quarantine records \a name.
+    virtual std::string quarantineKey(std::string_view name) const = 0;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/target_end_detector.h
+++ b/src/libs/relay/target_end_detector.h
@@ -16,7 +16,7 @@
 /// A request whose connection was lost before one event or the whole body of its answer was received.
 struct lost_request {
     std::string id; ///< Id of the attempt.
-    std::vector<std::string> sharedParts = {}; ///< Names of the shared parts of its prompt, in order.
+    std::vector<std::string> sharedParts = {}; ///< Scoped names of the shared parts of its prompt, in order.
     bool answerBegun = false; ///< The head of the answer was received.
 };
 
--- a/tests/libs/relay/context_reclaimer_test.cpp
+++ b/tests/libs/relay/context_reclaimer_test.cpp
@@ -15,6 +15,7 @@
     base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
     state_item removed(std::string_view) const override { return {}; }
     std::string processKey(std::string_view id) const override { return std::string(id); }
+    std::string quarantineKey(std::string_view) const override { return {}; }
     std::string orderLeaseKey() const override { return "lease"; }
 };
 
--- a/tests/libs/relay/orders_test.cpp
+++ b/tests/libs/relay/orders_test.cpp
@@ -22,6 +22,7 @@
     }
     state_item removed(std::string_view) const override { return {}; }
     std::string processKey(std::string_view id) const override { return std::string(id); }
+    std::string quarantineKey(std::string_view) const override { return {}; }
     std::string orderLeaseKey() const override { return "lease"; }
 };
 
--- /dev/null
+++ b/tests/libs/relay/part_quarantine_test.cpp
@@ -0,0 +1,247 @@
+#include <relay/part_quarantine.h>
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace marigold;
+using namespace marigold::relay;
+
+namespace {
+
+using parts = std::vector<std::string>;
+
+struct fixture {
+    base::manual_clock clock;
+    std::vector<std::string> blocked;
+    std::vector<std::string> released; ///< "PART: REASON"
+    std::vector<sound_part> sound;
+    part_quarantine quarantine { clock,
+        { .blocked = [this](const blocked_part& block) { blocked.push_back(block.part); },
+            .released =
+                [this](std::string_view part, std::string_view reason) {
+                    released.push_back(std::string(part) + ": " + std::string(reason));
+                },
+            .sound = [this](const sound_part& report) { sound.push_back(report); } },
+        {} };
+    int targets = 0;
+
+    void end(const parts& names, bool begun = true, const parts& soundNames = {})
+    {
+        quarantine.targetEnded({ .target = "t" + std::to_string(targets++),
+            .parts = names,
+            .soundParts = soundNames,
+            .answerBegun = begun });
+        clock.advance(std::chrono::seconds(1));
+    }
+    bool refuses(const parts& names) const { return quarantine.find(names) != nullptr; }
+};
+
+} // namespace
+
+TEST_CASE(
+    "a part under which targets end one after the other is blocked, and only with what its requests share")
+{
+    // Guards against placing requests that end targets again and again, and against refusing sound requests
+    // that share all other parts with them.
+    struct row {
+        std::string name;
+        std::vector<parts> ends;
+        std::vector<parts> answers; ///< One after each end.
+        parts request;
+        bool refused;
+    };
+    const std::vector<row> rows {
+        { "one end is no proof", { { "a", "x" } }, {}, { "a", "x" }, false },
+        { "two ends", { { "a", "x" }, { "a", "x" } }, {}, { "a", "x" }, true },
+        { "only one of the parts", { { "a", "x" }, { "a", "x" } }, {}, { "a", "b" }, false },
+        { "another first part", { { "a", "x" }, { "b", "x" } }, {}, { "c", "x" }, true },
+        { "first part of the crashing requests", { { "a", "x" }, { "b", "x" } }, {}, { "a" }, false },
+        { "an answer in between", { { "a", "x" }, { "a", "x" } }, { { "a", "x" } }, { "a", "x" }, false },
+        { "an answer on the other part", { { "a", "x" }, { "a", "x" } }, { { "a", "b" } }, { "c", "x" },
+            true },
+        { "the crashing part first", { { "x", "a" }, { "x", "b" } }, {}, { "x" }, true },
+        { "no parts", { {}, {} }, {}, {}, false },
+    };
+    for (const row& item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        for (std::size_t i = 0; i < item.ends.size(); ++i) {
+            f.end(item.ends[i]);
+            if (i < item.answers.size())
+                f.quarantine.answered(item.answers[i]);
+        }
+        CHECK(f.refuses(item.request) == item.refused);
+    }
+}
+
+TEST_CASE("ends that no part explains do not block parts that are answered elsewhere")
+{
+    // Guards against a loss of many targets at once that makes the common parts of sound requests look
+    // guilty.
+    fixture f;
+    f.quarantine.answered(parts { "team", "book" });
+    for (int i = 0; i < 30; ++i)
+        f.quarantine.targetEnded(
+            { .target = "t" + std::to_string(i), .parts = { "team", "book" }, .answerBegun = true });
+    CHECK_FALSE(f.refuses({ "team", "book" }));
+    f.clock.advance(std::chrono::milliseconds(200));
+    f.quarantine.answered(parts { "team", "page" });
+    for (int i = 0; i < 3; ++i)
+        f.end({ "team", "page" + std::to_string(i) });
+    CHECK_FALSE(f.refuses({ "team", "other" }));
+}
+
+TEST_CASE("a part that was sound before is blocked after more ends")
+{
+    // Guards against a part that turns into one that ends targets, for example with new weights.
+    fixture f;
+    f.quarantine.answered(parts { "a", "x" });
+    int ends = 0;
+    for (; ends < 10 && !f.refuses({ "a", "x" }); ++ends) {
+        f.quarantine.answered(parts { "a", "b" });
+        f.end({ "a", "x" });
+    }
+    CHECK(ends == 4);
+    CHECK_FALSE(f.refuses({ "a", "b" }));
+}
+
+TEST_CASE("requests that waited at an ended target count less, and nothing beside one that was begun")
+{
+    // Guards against accusing the requests that a target had not begun to answer when another one ended it.
+    fixture f;
+    for (int i = 0; i < 3; ++i) {
+        f.quarantine.targetEnded(
+            { .target = "t" + std::to_string(f.targets), .parts = { "w" }, .answerBegun = false });
+        f.end({ "x" });
+    }
+    CHECK(f.refuses({ "x" }));
+    CHECK_FALSE(f.refuses({ "w" }));
+    int ends = 0;
+    for (; ends < 10 && !f.refuses({ "v" }); ++ends)
+        f.end({ "v" }, false);
+    CHECK(ends == 4);
+}
+
+TEST_CASE("an end that a blocked part explains is no evidence against others")
+{
+    // Guards against blocking the parts of sound requests that ran at the same targets.
+    fixture f;
+    f.end({ "x" });
+    f.end({ "x" });
+    for (int i = 0; i < 5; ++i) {
+        f.quarantine.targetEnded(
+            { .target = "t" + std::to_string(f.targets), .parts = { "rare" }, .answerBegun = true });
+        f.end({ "x" });
+    }
+    CHECK(f.refuses({ "x" }));
+    CHECK_FALSE(f.refuses({ "rare" }));
+}
+
+TEST_CASE("what was taken for the cause is released when another part explains the ends")
+{
+    // Guards against a sound part that stays refused since it was first seen with one that ends targets.
+    fixture f;
+    f.end({ "a", "x" });
+    f.end({ "a", "x" });
+    CHECK(f.refuses({ "a", "x" }));
+    f.end({ "a", "y" });
+    CHECK(f.refuses({ "a", "z" }));
+    CHECK_FALSE(f.refuses({ "x" }));
+    CHECK_FALSE(f.refuses({ "b", "x" }));
+}
+
+TEST_CASE("reports of other processes have the same effect as own answers, and are given where needed")
+{
+    // Guards against a sound part that stays refused where it is not answered.
+    fixture f;
+    f.end({ "x" });
+    f.end({ "x" });
+    REQUIRE(f.refuses({ "x" }));
+    f.quarantine.soundReported({ .part = "x" });
+    CHECK_FALSE(f.refuses({ "x" }));
+    f.end({ "x" });
+    f.end({ "x" });
+    REQUIRE(f.refuses({ "x" }));
+    f.quarantine.soundReported({ .part = "x", .refutes = true });
+    CHECK_FALSE(f.refuses({ "x" }));
+
+    fixture other;
+    other.quarantine.answered(parts { "x" });
+    other.quarantine.blockReported({ .part = "x", .with = { "x" }, .ends = 2 });
+    CHECK_FALSE(other.refuses({ "x" }));
+    REQUIRE(other.sound.size() == 1);
+    CHECK_FALSE(other.sound[0].refutes);
+    other.quarantine.blockReported({ .part = "x", .with = { "x" }, .ends = 4 });
+    CHECK(other.refuses({ "x" }));
+    other.quarantine.answered(parts { "x" });
+    CHECK_FALSE(other.refuses({ "x" }));
+    CHECK(other.sound.back().refutes);
+}
+
+TEST_CASE("a block ends by time, and one further end renews it for longer")
+{
+    // Guards against a row of ended targets after each release, and against blocks that never end.
+    fixture f;
+    f.end({ "x" });
+    f.end({ "x" });
+    const base::duration first = f.quarantine.remaining("x");
+    CHECK(first <= std::chrono::minutes(10));
+    f.clock.advance(std::chrono::minutes(11));
+    f.quarantine.removeExpired();
+    CHECK_FALSE(f.refuses({ "x" }));
+    f.end({ "x" });
+    CHECK(f.refuses({ "x" }));
+    CHECK(f.quarantine.remaining("x") > std::chrono::minutes(15));
+    f.clock.advance(std::chrono::hours(9));
+    f.quarantine.removeExpired();
+    f.end({ "x" });
+    CHECK_FALSE(f.refuses({ "x" }));
+}
+
+TEST_CASE("an operator's block holds until it is withdrawn")
+{
+    // Guards against an answer that was on its way and lifts what an operator has decided.
+    fixture f;
+    f.quarantine.answered(parts { "x" });
+    f.quarantine.blockReported({ .part = "x", .with = { "x" } }, true);
+    CHECK(f.refuses({ "a", "x" }));
+    f.quarantine.answered(parts { "x" });
+    f.clock.advance(std::chrono::hours(48));
+    f.quarantine.removeExpired();
+    CHECK(f.refuses({ "a", "x" }));
+    f.quarantine.withdrawn("x");
+    CHECK_FALSE(f.refuses({ "a", "x" }));
+}
+
+TEST_CASE("the memory is bounded whatever parts callers name")
+{
+    // Guards against a caller that sends thousands of parts.
+    fixture f;
+    for (int i = 0; i < 20'000; ++i) {
+        const std::string name = "p" + std::to_string(i);
+        f.quarantine.answered(parts { "a" + name });
+        f.quarantine.targetEnded(
+            { .target = "t" + name, .parts = { name, name + "b" }, .answerBegun = true });
+        f.quarantine.targetEnded(
+            { .target = "u" + name, .parts = { name, name + "b" }, .answerBegun = true });
+        f.clock.advance(std::chrono::milliseconds(150));
+        if (i % 100 == 0)
+            f.quarantine.removeExpired();
+    }
+    CHECK(f.quarantine.blocks().size() <= 1024);
+    CHECK(f.quarantine.evidence() <= 128);
+    CHECK(f.quarantine.suspects() <= 1024);
+}
+
+TEST_CASE("isolated teams share no names of parts, and long names are shortened")
+{
+    // Guards against a team that blocks the prompts of another one, which is isolated from it.
+    CHECK(scopedPartName("m", "", "p") != scopedPartName("m", "team", "p"));
+    CHECK(scopedPartName("m", "a", "p") != scopedPartName("m", "b", "p"));
+    CHECK(scopedPartName("m", "", "p") != scopedPartName("n", "", "p"));
+    CHECK(scopedPartName("m", "", std::string(5000, 'p')).size() < 100);
+    CHECK(scopedPartName("m", "", std::string(5000, 'p')) != scopedPartName("m", "", std::string(5001, 'p')));
+}
--- a/tests/libs/relay/state_follower_test.cpp
+++ b/tests/libs/relay/state_follower_test.cpp
@@ -26,6 +26,7 @@
         return target_registration { .id = std::string(key) };
     }
     std::string processKey(std::string_view id) const override { return "p/" + std::string(id); }
+    std::string quarantineKey(std::string_view) const override { return {}; }
     std::string orderLeaseKey() const override { return "lease"; }
 };
 
