Treat a stream that ends inside an event as broken off

What callers saw: an event stream without length or chunks that a target broke off, and one whose length or last chunk came inside an event, were answered as complete, with half an event at the end. Cause: relay_session::answerEnds took the end of the message for the end of the stream. Class: framing taken for content. Change: event_boundary follows each stream; an end inside an event, or with the connection before the first event, is a failure of the attempt: a resumable stream goes on elsewhere after its last whole event, any other one is aborted. Evidence: broken_stream_test failed before (five of eight rows, and the resumed stream); now 33 of 33 cases of platform_adapter_test pass. Conclusion: answers that end with their connection are complete only at the boundary of an event; a connection that a target closes orderly after some whole events can't be told from the end.

--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -82,6 +82,7 @@
     bool refuseBlocked();
     bool claimTrial(const blocked_part& block);
     void reportAnswered();
+    bool isBrokenOff() const;
     std::string_view answerProgress() const;
     void reportLost();
     void beginForwarding();
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -195,6 +195,10 @@
             .reason = base::error_reason::Unavailable,
             .message = fmt::format("failed with {}", m_answerHead.status) });
     }
+    if (isBrokenOff())
+        return answerFails({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::StreamBroken,
+            .message = "stream broken off by the target" });
     m_services.targets.observe(*target, m_answerHead.status >= http_status::serverError);
     releaseTarget();
     m_verdict = base::verdict::Ran;
@@ -208,6 +212,15 @@
     finish(relay_outcome::Answered, m_answerHead.status, {});
 }
 
+bool relay_session::isBrokenOff() const
+{
+    if (m_route->kind != request_kind::Stream || m_answerHead.status >= http_status::badRequest)
+        return false;
+    // The end of the connection tells nothing of the end of the stream if there was no event.
+    return m_boundary.insideEvent()
+        || (m_answerHead.framing == body_framing::UntilClose && !m_boundary.hasEvent());
+}
+
 std::string_view relay_session::answerProgress() const
 {
     if (!m_answerBegun)
