--- a/scripts/switch_off.py
+++ b/scripts/switch_off.py
@@ -16,6 +16,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 RELAY = "src/libs/relay/"
 
+# The rows of this rule are checked by a run of several processes as well.
+PROCESS_RULE = "crashing parts"
+
 # Rule, effect of the change, file, text, replacement.
 ROWS = [
     ("MIXED", "the attempt id of an answer is not checked", RELAY + "relay_session_answer.cpp",
@@ -103,6 +106,30 @@
      "if (result == dispatch_result::NoCapacity)", "if (true)"),
     ("Sizes", "smaller requests do not pass larger ones", RELAY + "wait_queue.cpp",
      "|| request->size() < unplaced->second", ""),
+    ("crashing parts", "blocked parts are sent", RELAY + "relay_session.cpp", "if (!block)\n        return false;", "return false;"),
+    ("crashing parts", "requests at a target are not taken back", RELAY + "relay_session.cpp",
+     "m_connection->cancel();\n        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);\n        releaseTarget();\n    }\n    if (m_isQueued)",
+     "return;\n    }\n    if (m_isQueued)"),
+    ("crashing parts", "the others are told nothing", RELAY + "quarantine_exchange.cpp",
+     "m_send(address, datagram);", "static_cast<void>(address);"),
+    ("crashing parts", "records are not stored", RELAY + "quarantine_exchange.cpp",
+     "m_unwritten.empty() || std::exchange(m_writeScheduled, true)", "true"),
+    ("crashing parts", "an entry of the store is not applied", RELAY + "quarantine_exchange.cpp", "    apply(entry.batch);", ""),
+    ("crashing parts", "a lost connection counts as an end", RELAY + "target_end_detector.cpp",
+     "if (result == net::probe_result::Refused)", "if (true)"),
+    ("crashing parts", "answers do not clear parts", RELAY + "part_quarantine.cpp", 'clear(part, "answered");', ""),
+    ("crashing parts", "parts that were answered before need no more ends than others", RELAY + "part_quarantine.cpp",
+     "item->second.sound ? m_options.soundBlockWeight : m_options.blockWeight", "item->second.sound ? m_options.blockWeight : m_options.blockWeight"),
+    ("crashing parts", "simultaneous ends count each", RELAY + "part_quarantine.cpp", "end->at - clusterBegin >= separation", "true"),
+    ("crashing parts", "an explained end counts against others", RELAY + "part_quarantine.cpp", "explained.insert(end->target);", ""),
+    ("crashing parts", "a request is refused with one of the common parts", RELAY + "part_quarantine.cpp",
+     "std::ranges::all_of(with,", "std::ranges::any_of(with,"),
+    ("crashing parts", "blocks do not end", RELAY + "part_quarantine.cpp", "record.until <= now && !record.byOperator", "false"),
+    ("crashing parts", "no trials", RELAY + "part_quarantine.cpp", "m_clock.now() < found->second.nextTrial", "true"),
+    ("crashing parts", "each process starts each trial", RELAY + "quarantine_exchange.cpp", ".expectedRevision = 0,", ""),
+    ("crashing parts", "blocks are not passed on again", RELAY + "quarantine_exchange.cpp",
+     "!batch.records.empty() && !m_peers.empty()", "false"),
+    ("ORDER", "a stream that ends inside an event is complete", RELAY + "relay_session_answer.cpp", "if (isBrokenOff())", "if (false)"),
 ]
 
 
@@ -110,8 +137,8 @@
     return subprocess.run(command, cwd=folder, capture_output=True, text=True)
 
 
-def failing_tests(copy):
-    build = run(["cmake", "--build", "build", "--target", "relay_test", "platform_adapter_test"], copy)
+def failing_tests(copy, with_processes):
+    build = run(["cmake", "--build", "build", "--target", "relay_test", "platform_adapter_test", "marigold-relay"], copy)
     if build.returncode != 0:
         return ["(does not build)"]
     names = []
@@ -125,6 +152,8 @@
         if done.returncode < 0:
             names.append(f"{test} (signal {-done.returncode})")
         names += re.findall(r"TEST CASE:  (.*)", done.stdout)
+    if with_processes and run(["python3", "platform/soak/crashing_part.py", "--relay", "build/src/marigold-relay"], copy).returncode:
+        names.append("crashing_part")
     return sorted(set(names))
 
 
@@ -151,7 +180,7 @@
             continue
         file.write_text(changed)
         try:
-            failed = failing_tests(copy)
+            failed = failing_tests(copy, rule == PROCESS_RULE)
         finally:
             file.write_text(text)
         undetected += not failed or failed == ["(does not build)"]
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -141,9 +141,17 @@
     .meaning = "Requests with a part that was blocked are sent again; fields: part, reason.",
     .action = "" };
 
+inline constexpr base::event_definition partTried { .id = "MB-2020",
+    .level = base::log_level::Info,
+    .name = "relay_part_tried",
+    .meaning
+    = "One request with a blocked part is sent to find out whether it still ends its target, if this "
+      "process was the first to claim the trial; fields: part, number (of the trial), claimed.",
+    .action = "" };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
     processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded, partBlocked,
-    partReleased };
+    partReleased, partTried };
 
 } // namespace marigold::relay::events
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -78,10 +78,8 @@
         .metrics = m_metrics,
         .retryBudgets = m_retryBudgets,
         .startedAt = time.now(),
-        .claimTrial =
-            [this](std::string_view part, int number, std::function<void(bool)> done) {
-                m_quarantineExchange.claimTrial(part, number, std::move(done));
-            },
+        .claimTrial = [this](std::string_view part, int number,
+                          std::function<void(bool)> done) { claimTrial(part, number, std::move(done)); },
         .config = nullptr }
     , m_follower(
           m_store, ports.decoder, loop, time, m_random, log, *this, { .changeLimit = m_options.changeLimit })
@@ -316,6 +314,17 @@
     m_log.write(events::partReleased, { { "part", std::string(part) }, { "reason", std::string(reason) } });
 }
 
+void relay_server::claimTrial(std::string_view part, int number, std::function<void(bool)> done)
+{
+    m_quarantineExchange.claimTrial(
+        part, number, [this, name = std::string(part), number, done = std::move(done)](bool claimed) {
+            m_log.write(events::partTried,
+                { { "part", name }, { "number", std::to_string(number) },
+                    { "claimed", claimed ? "yes" : "no" } });
+            done(claimed);
+        });
+}
+
 void relay_server::answerQuarantine(caller_connection& caller)
 {
     std::string text;
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -100,6 +100,7 @@
     void partBlocked(const blocked_part& block);
     void partReleased(std::string_view part, std::string_view reason);
     void answerQuarantine(caller_connection& caller);
+    void claimTrial(std::string_view part, int number, std::function<void(bool)> done);
 
     net::event_loop& m_loop;
     const base::clock& m_clock;
