Delay reports of sound parts by the size of the fleet; tell callers when a blocked part is tried

Cause: at 370 relays up to 18 of them would report the same sound part within a transit time, 1,107 datagrams each (computed); Retry-After named the end of the block, ten minutes, although a trial comes after 20 s.

--- a/src/libs/relay/part_quarantine.cpp
+++ b/src/libs/relay/part_quarantine.cpp
@@ -217,6 +217,15 @@
     return std::max(base::duration::zero(), found->second.until - m_clock.now());
 }
 
+base::duration part_quarantine::retryAfter(std::string_view part) const
+{
+    constexpr base::duration shortest = std::chrono::seconds(1);
+    const auto found = m_blocks.find(part);
+    if (found == m_blocks.end() || found->second.byOperator)
+        return remaining(part);
+    return std::max(shortest, std::min(remaining(part), found->second.nextTrial - m_clock.now()));
+}
+
 std::vector<std::string> part_quarantine::answeredHere(std::span<const std::string> parts) const
 {
     std::vector<std::string> found;
--- a/src/libs/relay/part_quarantine.h
+++ b/src/libs/relay/part_quarantine.h
@@ -129,6 +129,9 @@
     /// Returns the time until the block of \a part ends.
     base::duration remaining(std::string_view part) const;
 
+    /// Returns the time after which a request with the blocked \a part may be served again.
+    base::duration retryAfter(std::string_view part) const;
+
     /// Returns those of \a parts with which a request was answered here within `soundTime`.
     std::vector<std::string> answeredHere(std::span<const std::string> parts) const;
 
--- a/src/libs/relay/quarantine_exchange.cpp
+++ b/src/libs/relay/quarantine_exchange.cpp
@@ -67,13 +67,14 @@
         known->second.report.refutes = known->second.report.refutes || report.refutes;
         return;
     }
-    const base::timer_id timer = m_timers.runAfter(
-        randomDelay(base::duration::zero(), m_options.maxSoundDelay), [this, part = report.part] {
-            const auto found = m_pendingSounds.find(part);
-            const sound_part due = found->second.report;
-            m_pendingSounds.erase(found);
-            publish(due);
-        });
+    const auto factor = static_cast<base::duration::rep>(1 + m_peers.size() / m_options.peersPerSoundDelay);
+    const base::duration delay = randomDelay(base::duration::zero(), factor * m_options.maxSoundDelay);
+    const base::timer_id timer = m_timers.runAfter(delay, [this, part = report.part] {
+        const auto found = m_pendingSounds.find(part);
+        const sound_part due = found->second.report;
+        m_pendingSounds.erase(found);
+        publish(due);
+    });
     m_pendingSounds.emplace(report.part, pending_sound { .report = report, .timer = timer });
 }
 
--- a/src/libs/relay/quarantine_exchange.h
+++ b/src/libs/relay/quarantine_exchange.h
@@ -26,9 +26,10 @@
         std::string process;
         /// Delays of the datagrams of one record after its first one.
         std::vector<base::duration> repeats { std::chrono::milliseconds(60), std::chrono::milliseconds(300) };
-        /// Longest random delay of a report that a part was answered: many processes may know it, and the
-        /// first one speaks for all.
+        /// Longest random delay of a report that a part was answered, for each `peersPerSoundDelay`
+        /// processes: many may know it, and the first one speaks for all.
         base::duration maxSoundDelay = std::chrono::milliseconds(20);
+        std::size_t peersPerSoundDelay = 40;
         /// Random delay after which a block that others found is written to the store, if its finder has not.
         base::duration minBlockDelay = std::chrono::seconds(1);
         base::duration maxBlockDelay = std::chrono::seconds(10);
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -238,7 +238,7 @@
     if (claimTrial(*block))
         return true;
     m_isQueued = false;
-    const base::duration retryAfter = m_services.quarantine.remaining(block->part);
+    const base::duration retryAfter = m_services.quarantine.retryAfter(block->part);
     if (m_verdict == base::verdict::NotRun)
         sendOwnAnswer(http_status::serviceUnavailable, retryAfter, "part_blocked");
     else
--- a/src/libs/relay/target_end_detector.cpp
+++ b/src/libs/relay/target_end_detector.cpp
@@ -83,6 +83,8 @@
 
 void target_end_detector::targetRegistered(const target_registration& target)
 {
+    if (m_losses.empty())
+        return;
     removeOld();
     const std::string incarnation = incarnationOf(target);
     std::vector<std::string> replaced;
--- a/tests/libs/relay/part_quarantine_test.cpp
+++ b/tests/libs/relay/part_quarantine_test.cpp
@@ -201,6 +201,32 @@
     CHECK_FALSE(f.refuses({ "x" }));
 }
 
+TEST_CASE("a blocked part is tried from time to time, ever less often")
+{
+    // Guards against a sound part that stays refused, and against trials that end a row of targets.
+    fixture f;
+    f.end({ "x" });
+    CHECK_FALSE(f.quarantine.dueTrial("x"));
+    f.end({ "x" });
+    CHECK_FALSE(f.quarantine.dueTrial("x"));
+    CHECK(f.quarantine.retryAfter("x") <= std::chrono::seconds(20));
+    std::vector<int> trials;
+    for (int second = 0; second < 300; ++second) {
+        f.clock.advance(std::chrono::seconds(1));
+        if (const auto number = f.quarantine.dueTrial("x")) {
+            trials.push_back(*number);
+            f.quarantine.trialStarted({ .part = "x", .number = *number });
+            f.quarantine.trialStarted({ .part = "x", .number = *number }); // As told by another process.
+            f.quarantine.targetEnded(
+                { .target = "trial" + std::to_string(*number), .parts = { "x" }, .answerBegun = true });
+        }
+    }
+    CHECK(trials == std::vector<int> { 0, 1, 2 });
+    f.quarantine.blockReported({ .part = "y", .with = { "y" } }, true);
+    f.clock.advance(std::chrono::minutes(5));
+    CHECK_FALSE(f.quarantine.dueTrial("y"));
+}
+
 TEST_CASE("an operator's block holds until it is withdrawn")
 {
     // Guards against an answer that was on its way and lifts what an operator has decided.
