Keep operators' blocks out of the relays' records, and bound what peers add to memory

What operators would see: a part that they had blocked by hand and released again stayed blocked at relays that started within ten minutes, since other relays had written a block of their own for it. And reports of answers could fill the memory of answers beyond its bound. Cause: each block was written after 1 to 10 s if nobody else had, whoever had found it; soundReported did not use the bound of answered. Change: an operator's block is not written; one function remembers answers. Evidence: the new case of quarantine_exchange_test fails with the old quarantine_exchange.cpp (store not empty) and passes now.

--- a/src/libs/relay/part_quarantine.cpp
+++ b/src/libs/relay/part_quarantine.cpp
@@ -73,18 +73,24 @@
     return found != m_answered.end() && m_clock.now() - found->second <= m_options.soundTime;
 }
 
-void part_quarantine::answered(std::span<const std::string> parts)
+void part_quarantine::rememberAnswer(std::string_view part)
 {
     const base::time_point now = m_clock.now();
-    bool isCleared = false;
-    if (m_answered.size() + parts.size() > m_options.maxAnswered) {
+    const std::uint64_t hash = base::hash64(part);
+    if (m_answered.size() >= m_options.maxAnswered && !m_answered.contains(hash)) {
         std::erase_if(
             m_answered, [&](const auto& item) { return now - item.second > m_options.soundTime / 4; });
-        if (m_answered.size() + parts.size() > m_options.maxAnswered)
+        if (m_answered.size() >= m_options.maxAnswered)
             m_answered.clear();
     }
+    m_answered[hash] = now;
+}
+
+void part_quarantine::answered(std::span<const std::string> parts)
+{
+    bool isCleared = false;
     for (const std::string& part : parts) {
-        m_answered[base::hash64(part)] = now;
+        rememberAnswer(part);
         const auto found = m_suspects.find(part);
         const bool blocked = m_blocks.contains(part);
         if (found == m_suspects.end() && !blocked)
@@ -106,7 +112,7 @@
 
 void part_quarantine::soundReported(const sound_part& report)
 {
-    m_answered[base::hash64(report.part)] = m_clock.now();
+    rememberAnswer(report.part);
     if (report.refutes) {
         clear(report.part, "answered elsewhere");
         return recompute();
--- a/src/libs/relay/part_quarantine.h
+++ b/src/libs/relay/part_quarantine.h
@@ -178,6 +178,7 @@
     double requiredWeight(std::string_view part) const;
     std::vector<std::string> commonParts(std::string_view part, const evidence_list& evidence) const;
     bool wasAnswered(std::string_view part) const;
+    void rememberAnswer(std::string_view part);
     bool isRefuted(const blocked_part& block) const;
     void addEvidence(const blocked_part& block);
     void clear(std::string_view part, std::string_view reason);
--- a/src/libs/relay/quarantine_exchange.cpp
+++ b/src/libs/relay/quarantine_exchange.cpp
@@ -47,6 +47,9 @@
 
 void quarantine_exchange::partBlocked(const blocked_part& block)
 {
+    // An operator's block is in the store already, and ends when it is withdrawn there.
+    if (std::ranges::any_of(m_operatorBlocks, [&](const auto& item) { return item.second == block.part; }))
+        return;
     if (m_isOwnEvidence)
         return publish(block);
     if (const auto known = m_unwrittenBlocks.find(block.part); known != m_unwrittenBlocks.end())
--- a/tests/libs/relay/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/quarantine_exchange_test.cpp
@@ -483,6 +483,36 @@
     }));
 }
 
+TEST_CASE("only blocks that processes found are written to the store, also if their finder has not")
+{
+    // Guards against a block that outlives its withdrawal by an operator, and against one that is lost with
+    // its finder.
+    for (const bool byOperator : { true, false }) {
+        CAPTURE(byOperator);
+        base::manual_clock clock;
+        base::manual_scheduler timers { clock };
+        testing::fake_kv_store store { clock, timers };
+        base::random_source random { 1 };
+        const plain_decoder decoder;
+        std::unique_ptr<quarantine_exchange> exchange;
+        part_quarantine quarantine { clock,
+            { .blocked = [&](const blocked_part& block) { exchange->partBlocked(block); } }, {} };
+        exchange = std::make_unique<quarantine_exchange>(
+            quarantine, store, decoder, timers, clock, random, [](const net::endpoint&, std::string_view) {},
+            quarantine_exchange::options { .process = "p" });
+        const blocked_part block { .part = "x", .with = { "x" }, .ends = 2, .targets = { "t" } };
+        if (byOperator)
+            exchange->stored({ .key = "by-hand", .revision = 1, .operatorBlock = block });
+        else
+            quarantine.blockReported(block);
+        CHECK(quarantine.find(parts { "x" }));
+        timers.advance(std::chrono::seconds(15));
+        CHECK(store.entries.empty() == byOperator);
+        exchange->withdrawn("by-hand");
+        CHECK((quarantine.find(parts { "x" }) == nullptr) == byOperator);
+    }
+}
+
 TEST_CASE("records survive their encoding, and other bytes are rejected")
 {
     // Guards against records that another process misreads, and against bytes of any other sender.
