--- a/scripts/switch_off.py
+++ b/scripts/switch_off.py
@@ -144,7 +144,7 @@
     names = []
     for test in ("relay_test", "platform_adapter_test"):
         try:
-            done = subprocess.run([f"build/tests/{test}"], cwd=copy, capture_output=True, text=True, timeout=120,
+            done = subprocess.run([f"build/tests/{test}"], cwd=copy, capture_output=True, text=True, timeout=600,
                                   env={"RC_PARAMS": "seed=20261204"})
         except subprocess.TimeoutExpired:
             names.append(f"{test} (timed out)")
