--- a/src/libs/relay/part_quarantine.cpp
+++ b/src/libs/relay/part_quarantine.cpp
@@ -337,7 +337,7 @@
             std::erase_if(common, [&](const std::string& other) { return !contains(accused, other); });
     }
     std::ranges::sort(common);
-    common.erase(std::ranges::unique(common).begin(), common.end());
+    common.erase(std::unique(common.begin(), common.end()), common.end());
     std::erase_if(common, [&](const std::string& other) {
         const auto item = m_suspects.find(other);
         return other != part && item != m_suspects.end()
--- a/tests/libs/relay/target_end_detector_test.cpp
+++ b/tests/libs/relay/target_end_detector_test.cpp
@@ -33,10 +33,9 @@
             ends.push_back({ std::string(incarnation), requests });
         },
         {} };
-    target_registration target { .id = "t",
-        .service = "svc",
-        .address = { .address = "10.0.0.1", .port = 1 },
-        .startedAtMs = 5 };
+    target_registration target {
+        .id = "t", .service = "svc", .address = { .address = "10.0.0.1", .port = 1 }, .startedAtMs = 5
+    };
 
     void lose(const std::string& id, bool begun)
     {
@@ -78,14 +77,12 @@
         bool ended;
     };
     const target_registration restarted { .id = "t", .service = "svc", .startedAtMs = 6 };
-    const target_registration replaced { .id = "u",
-        .service = "svc",
-        .address = { .address = "10.0.0.1", .port = 1 },
-        .startedAtMs = 7 };
-    const target_registration same { .id = "t",
-        .service = "svc",
-        .address = { .address = "10.0.0.1", .port = 1 },
-        .startedAtMs = 5 };
+    const target_registration replaced {
+        .id = "u", .service = "svc", .address = { .address = "10.0.0.1", .port = 1 }, .startedAtMs = 7
+    };
+    const target_registration same {
+        .id = "t", .service = "svc", .address = { .address = "10.0.0.1", .port = 1 }, .startedAtMs = 5
+    };
     for (const row& item : { row { "removed", std::chrono::seconds(3), {}, true },
              row { "removed long after", std::chrono::seconds(9), {}, false },
              row { "restarted under its id", std::chrono::seconds(3), restarted, true },
