Test that one process of several gets a trial

Change: a case with three processes that claim the same trial in one store. Conclusion: the mechanism has a test.

--- a/tests/libs/relay/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/quarantine_exchange_test.cpp
@@ -126,3 +126,29 @@
         CHECK((quarantine.find(parts { "x" }) == nullptr) == byOperator);
     }
 }
+
+TEST_CASE("of several processes that claim the same trial, one may send a request")
+{
+    // Guards against a trial of each process, which would end a row of targets.
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    testing::fake_kv_store store { clock, timers };
+    base::random_source random { 1 };
+    const plain_decoder decoder;
+    part_quarantine quarantine { clock, {}, {} };
+    std::vector<std::unique_ptr<quarantine_exchange>> exchanges;
+    int granted = 0;
+    int decided = 0;
+    for (const char* name : { "p", "q", "r" }) {
+        exchanges.push_back(std::make_unique<quarantine_exchange>(
+            quarantine, store, decoder, timers, clock, random, [](const net::endpoint&, std::string_view) {},
+            quarantine_exchange::options { .process = name }));
+        exchanges.back()->claimTrial("x", 0, [&](bool isGranted) {
+            ++decided;
+            granted += isGranted ? 1 : 0;
+        });
+    }
+    timers.advance(std::chrono::seconds(1));
+    CHECK(decided == 3);
+    CHECK(granted == 1);
+}
