--- a/tests/libs/relay/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/quarantine_exchange_test.cpp
@@ -152,3 +152,29 @@
     CHECK(decided == 3);
     CHECK(granted == 1);
 }
+
+TEST_CASE("a block is passed on again and again while it is in force")
+{
+    // Guards against a process that has missed a block, or that knows better and is never asked.
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    testing::fake_kv_store store { clock, timers };
+    store.down = true;
+    base::random_source random { 1 };
+    const plain_decoder decoder;
+    part_quarantine quarantine { clock, {}, {} };
+    int repeated = 0;
+    quarantine_exchange exchange(quarantine, store, decoder, timers, clock, random,
+        [&](const net::endpoint&, std::string_view bytes) {
+            const auto batch = decodeQuarantineDatagram(bytes);
+            repeated += batch && batch->records.at(0).sequence == 0 ? 1 : 0;
+        },
+        { .process = "p" });
+    exchange.setPeers({ { "q", { .address = "10.0.0.1", .port = 1 } } });
+    exchange.start();
+    timers.advance(std::chrono::seconds(3));
+    CHECK(repeated == 0);
+    quarantine.blockReported({ .part = "x", .with = { "x" }, .ends = 2, .targets = { "t" } });
+    timers.advance(std::chrono::seconds(3));
+    CHECK(repeated >= 3);
+}
