--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -14,14 +14,16 @@
       "attempts, target (of the last send), age_ms, placed_ms (arrival to last send), expected_ms (to the "
       "first token, at that send), first_ms, pause_ms (longest between two chunks of the answer), "
       "prompt_tokens, shared_tokens, kept_tokens, scope, part, parts (all shared ones), "
-      "answer (none, begun or event: what was received of the last one), config, reason.",
+      "answer (none, begun or event: what was received of the last one), framing (of that answer: "
+      "none, length, chunked, until_close), config, reason.",
     .action = "" };
 
 inline constexpr base::event_definition attemptFailed { .id = "MB-2002",
     .level = base::log_level::Info,
     .name = "relay_attempt_failed",
     .meaning = "An attempt at a target failed; fields: request, target, verdict, reason, "
-               "answer (none, begun or event: what was received of it), retry, age_ms.",
+               "answer (none, begun or event: what was received of it), framing (of that answer), "
+               "retry, age_ms.",
     .action = "" };
 
 inline constexpr base::event_definition configInForce { .id = "MB-2003",
--- a/src/libs/relay/message_parser.cpp
+++ b/src/libs/relay/message_parser.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+std::string_view nameOf(body_framing framing)
+{
+    constexpr std::array<std::string_view, 4> names { "none", "length", "chunked", "until_close" };
+    return names[static_cast<std::size_t>(framing)];
+}
+
 struct message_parser::private_data {
     http_parser parser {};
     kind messageKind;
--- a/src/libs/relay/message_parser.h
+++ b/src/libs/relay/message_parser.h
@@ -18,6 +18,9 @@
     UntilClose, ///< An answer that ends when its connection is closed; a reset does not end it.
 };
 
+/// Returns the snake-case name of \a framing.
+std::string_view nameOf(body_framing framing);
+
 /// Start line and header fields of a message.
 struct message_head {
     std::string method = {}; ///< Requests only.
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -71,6 +71,11 @@
               .Name("marigold_relay_store_calls_total")
               .Help("Calls of the platform's store, by result")
               .Register(registry);
+    prometheus::Family<prometheus::Counter>& answers
+        = prometheus::BuildCounter()
+              .Name("marigold_relay_answers_total")
+              .Help("Complete answers of targets, by how their end was determined")
+              .Register(registry);
     prometheus::Counter& retriesDenied = prometheus::BuildCounter()
                                              .Name("marigold_relay_retries_denied_total")
                                              .Help("Retries that the budget of the service did not allow")
@@ -117,6 +122,9 @@
             .Observe(std::chrono::duration<double>(*request.sentAfter).count());
     if (!request.reason.empty())
         m_families->refusals.Add({ { "reason", reasonLabel(request.reason) } }).Increment();
+    if (request.outcome == relay_outcome::Answered && request.framing)
+        m_families->answers.Add({ { "kind", kind }, { "framing", std::string(nameOf(*request.framing)) } })
+            .Increment();
     if (request.outcome != relay_outcome::Answered || request.promptTokens == 0)
         return;
     m_families->tokens.Add({ { "part", "all" } }).Increment(request.promptTokens);
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "message_parser.h"
 #include "relay_config.h"
 
 #include <base/base.h>
@@ -32,6 +33,7 @@
     std::optional<base::duration> firstByteAfter = {};
     std::optional<base::duration> sentAfter = {}; ///< From the arrival to the last send.
     std::string_view reason = {}; ///< Why the request was refused or the answer aborted.
+    std::optional<body_framing> framing = {}; ///< Of the last answer that a target began.
     int promptTokens = 0;
     int sharedTokens = 0;
     int fetchedTokens = 0; ///< Tokens of the shared parts that were planned to be fetched from a store.
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -397,6 +397,7 @@
         .firstByteAfter = m_firstByteAfter,
         .sentAfter = m_sends > 0 ? std::optional(m_sentAt - m_arrivedAt) : std::nullopt,
         .reason = reason,
+        .framing = m_answerBegun ? std::optional(m_answerHead.framing) : std::nullopt,
         .promptTokens = m_request.promptTokens,
         .sharedTokens = m_request.sharedTokens(),
         .fetchedTokens = m_context.cachedTokens });
@@ -414,7 +415,7 @@
             { "kept_tokens", std::to_string(m_context.cachedTokens) }, { "scope", m_scope },
             { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
             { "parts", fmt::format("{}", fmt::join(m_sharedParts, ",")) },
-            { "answer", std::string(answerProgress()) },
+            { "answer", std::string(answerProgress()) }, { "framing", std::string(answerFraming()) },
             { "config", m_config ? std::to_string(m_config->version()) : "-" },
             { "reason", std::string(reason) } });
     m_onFinished(*this);
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -84,6 +84,7 @@
     void reportAnswered();
     bool isBrokenOff() const;
     std::string_view answerProgress() const;
+    std::string_view answerFraming() const;
     void reportLost();
     void beginForwarding();
     void sendOwnAnswer(int status, base::duration retryAfter, std::string_view reason);
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -228,6 +228,11 @@
     return m_boundary.hasEvent() ? "event" : "begun";
 }
 
+std::string_view relay_session::answerFraming() const
+{
+    return m_answerBegun ? nameOf(m_answerHead.framing) : "-";
+}
+
 void relay_session::reportLost()
 {
     if (!m_sharedParts.empty() && !m_boundary.hasEvent())
@@ -268,8 +273,8 @@
     m_services.log.write(events::attemptFailed,
         { { "request", m_request.attemptId }, { "target", target },
             { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
-            { "answer", std::string(answerProgress()) }, { "retry", retry ? "yes" : "no" },
-            { "age_ms", std::to_string(elapsed().count() / 1000) } });
+            { "answer", std::string(answerProgress()) }, { "framing", std::string(answerFraming()) },
+            { "retry", retry ? "yes" : "no" }, { "age_ms", std::to_string(elapsed().count() / 1000) } });
     if (retry)
         return dispatch();
     if (m_verdict == base::verdict::NotRun)
--- a/tests/libs/relay/relay_metrics_test.cpp
+++ b/tests/libs/relay/relay_metrics_test.cpp
@@ -43,6 +43,20 @@
         != std::string::npos);
 }
 
+TEST_CASE("answers that end with their connection are counted apart")
+{
+    // Guards against streams whose end nothing but a closed connection tells, and that no metric shows.
+    relay_metrics metrics;
+    metrics.requestEnded({ .kind = request_kind::Stream, .framing = body_framing::UntilClose });
+    metrics.requestEnded({ .kind = request_kind::Stream, .framing = body_framing::Chunked });
+    metrics.requestEnded({ .kind = request_kind::Stream,
+        .outcome = relay_outcome::Broken,
+        .framing = body_framing::UntilClose });
+    const std::string text = metrics.exposition({});
+    CHECK(hasLine(text, R"(marigold_relay_answers_total{framing="until_close",kind="stream"} 1)"));
+    CHECK(hasLine(text, R"(marigold_relay_answers_total{framing="chunked",kind="stream"} 1)"));
+}
+
 TEST_CASE("each call of the store is counted with its result")
 {
     // Guards against an outage of the store that is not visible in any metric.
