Do not keep a reply that its service broke off as the reply to an order

A plain service that ends while it sends a reply without length or chunks closes its connection orderly. The agent took what had come for the reply, and the claim gave it to each repeat of the key. Cause: http_client calls a response complete when its connection closes orderly, and did not tell its users that nothing else ended it. Conclusion: a claim keeps a reply only if something beside the close says that it is whole. A running service that closes in the middle of a text can't be told from one that has finished.

--- a/src/libs/agent/service_role.cpp
+++ b/src/libs/agent/service_role.cpp
@@ -1,5 +1,6 @@
 #include "service_role.h"
 
+#include "http_plain_service.h"
 #include "plain_caller.h"
 
 #include <routing/routing.h>
@@ -13,42 +14,6 @@
 
 namespace {
 
-/// Sends calls to the service over HTTP.
-class http_plain_service final : public plain_service {
-public:
-    http_plain_service(net::http_client& client, net::endpoint service)
-        : m_client(client)
-        , m_service(std::move(service))
-    {
-    }
-
-    void send(const protocol::call_request& call, const std::string& body,
-        std::function<void(base::result<outcome::stored_answer>)> done) override
-    {
-        // With a fresh connection, an error shows whether the service can have received the call.
-        net::http_call request { .to = m_service,
-            .method = call.method,
-            .target = call.path,
-            .headers = { { "Content-Type", call.contentType } },
-            .body = body,
-            .timeout = call.remaining,
-            .freshConnection = true };
-        if (!call.idempotencyKey.empty())
-            request.headers.add("Idempotency-Key", call.idempotencyKey);
-        m_client.send(std::move(request), [done = std::move(done)](base::result<net::http_response> answer) {
-            if (!answer)
-                return done(tl::unexpected(answer.error()));
-            done(outcome::stored_answer { .status = answer->status,
-                .contentType = std::string(answer->headers.find("Content-Type").value_or("")),
-                .body = std::move(answer->body) });
-        });
-    }
-
-private:
-    net::http_client& m_client;
-    net::endpoint m_service;
-};
-
 std::string processIdentity(const node::node_settings& settings, const base::clock& clock)
 {
     // Differs between two starts of the process, so that a restarted process does not treat claims of its
@@ -98,7 +63,7 @@
     : node(node)
     , gate(gate)
     , settings(settings)
-    , service(node.client(), net::endpoint::parse(settings.target).value_or(net::endpoint {}))
+    , service(node.client(), node.loop(), net::endpoint::parse(settings.target).value_or(net::endpoint {}))
     , ramp({ .first = settings.firstSlots,
           .full = settings.slots,
           .target = settings.node.process.id,
--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -25,6 +25,8 @@
 /// fill the memory of this process until the call times out.
 constexpr ev_ssize_t maxResponseHeaderBytes = 64 << 10;
 
+constexpr int noContent = 204;
+
 /// Effectively disables the timeouts of evhttp, since the timers of this class end a call.
 constexpr int transportTimeoutSeconds = 24 * 3600;
 
@@ -194,6 +196,9 @@
     };
     response.body = entry->call.onData ? std::move(entry->errorBody)
                                        : bufferText(evhttp_request_get_input_buffer(request));
+    response.endsWithConnection = !response.headers.find("Content-Length")
+        && !response.headers.find("Transfer-Encoding")
+        && evhttp_request_get_response_code(request) != noContent;
     const auto removed = self->remove(entry->id);
     const auto close = response.headers.find("Connection");
     if (close && *close == "close")
--- a/src/libs/net/http_types.cpp
+++ b/src/libs/net/http_types.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace marigold::net {
 
@@ -26,6 +27,17 @@
     return std::nullopt;
 }
 
+bool isCutJson(const http_headers& headers, std::string_view body)
+{
+    const std::string_view field = headers.find("Content-Type").value_or("");
+    std::string_view type = field.substr(0, field.find(';'));
+    type = type.substr(0, type.find_last_not_of(" \t") + 1);
+    constexpr std::string_view suffix = "+json";
+    const bool isJson = equalNoCase(type, "application/json")
+        || (type.size() > suffix.size() && equalNoCase(type.substr(type.size() - suffix.size()), suffix));
+    return isJson && !nlohmann::json::accept(body);
+}
+
 std::optional<endpoint> endpoint::parse(std::string_view text)
 {
     constexpr std::string_view scheme = "http://";
--- a/src/libs/net/http_types.h
+++ b/src/libs/net/http_types.h
@@ -35,8 +35,15 @@
     int status = 200;
     http_headers headers = {};
     std::string body = {};
+    /// The body had neither a length nor chunks and ended with its connection, as it also does if the sender
+    /// ends in the middle of it.
+    bool endsWithConnection = false;
 };
 
+/// Returns true if \a headers state a JSON body and \a body is no JSON text, for example because its sender
+/// ended in the middle of it.
+bool isCutJson(const http_headers& headers, std::string_view body);
+
 /// An IP address and a port.
 struct endpoint {
     std::string address;
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -1,3 +1,5 @@
+#include "support/raw_server.h"
+
 #include <net/net.h>
 
 #include <doctest/doctest.h>
@@ -7,11 +9,6 @@
 #include <string>
 #include <vector>
 
-#include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 using namespace marigold;
 using namespace marigold::net;
 
@@ -43,68 +40,6 @@
     }
 };
 
-/// A server that sends \a start and then \a flood without end on each connection, until the client closes.
-class flooding_server {
-public:
-    flooding_server(event_loop& loop, std::string start, std::string flood)
-        : m_loop(loop)
-        , m_start(std::move(start))
-        , m_flood(std::move(flood))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-        m_listener = evconnlistener_new_bind(loop.handle(), onAccepted, this,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&address),
-            sizeof(address));
-        socklen_t length = sizeof(address);
-        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &length);
-        port = ntohs(address.sin_port);
-    }
-    ~flooding_server()
-    {
-        if (m_events)
-            bufferevent_free(m_events);
-        evconnlistener_free(m_listener);
-    }
-    flooding_server(const flooding_server&) = delete;
-    flooding_server& operator=(const flooding_server&) = delete;
-
-    std::uint16_t port = 0;
-    std::size_t sentBytes = 0;
-
-private:
-    static void onAccepted(evconnlistener*, int socket, sockaddr*, int, void* argument)
-    {
-        auto* self = static_cast<flooding_server*>(argument);
-        self->m_events = bufferevent_socket_new(self->m_loop.handle(), socket, BEV_OPT_CLOSE_ON_FREE);
-        bufferevent_setcb(self->m_events, nullptr, onWritten, onClosed, self);
-        bufferevent_enable(self->m_events, EV_READ | EV_WRITE);
-        self->write(self->m_start);
-    }
-    static void onWritten(bufferevent*, void* argument)
-    {
-        auto* self = static_cast<flooding_server*>(argument);
-        self->write(self->m_flood);
-    }
-    static void onClosed(bufferevent*, short, void* argument)
-    {
-        auto* self = static_cast<flooding_server*>(argument);
-        bufferevent_free(std::exchange(self->m_events, nullptr));
-    }
-    void write(const std::string& bytes)
-    {
-        sentBytes += bytes.size();
-        bufferevent_write(m_events, bytes.data(), bytes.size());
-    }
-
-    event_loop& m_loop;
-    std::string m_start;
-    std::string m_flood;
-    evconnlistener* m_listener = nullptr;
-    bufferevent* m_events = nullptr;
-};
-
 } // namespace
 
 TEST_CASE("a response without end is cut off")
@@ -127,7 +62,7 @@
     for (const row& item : rows) {
         CAPTURE(item.name);
         event_loop loop;
-        flooding_server server(loop, item.start, item.flood);
+        testing::raw_server server(loop, { .start = item.start, .flood = item.flood });
         http_client client(loop);
         base::result<http_response> outcome = http_response {};
         client.send({ .to = { .address = "127.0.0.1", .port = server.port },
@@ -147,6 +82,54 @@
     }
 }
 
+TEST_CASE("a response that only the end of its connection ends is marked")
+{
+    // Guards against a response that its server broke off and that a caller of the client takes for whole.
+    struct row {
+        std::string name;
+        std::string start;
+        bool endsWithConnection;
+    };
+    for (const row& item : { row { "neither", "HTTP/1.1 200 OK\r\n\r\ncut", true },
+             row { "announced", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ncut", true },
+             row { "length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall", false },
+             row { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n",
+                 false },
+             row { "no content", "HTTP/1.1 204 No Content\r\n\r\n", false } }) {
+        CAPTURE(item.name);
+        event_loop loop;
+        testing::raw_server server(loop, { .start = item.start });
+        http_client client(loop);
+        base::result<http_response> outcome = base::notRun(base::error_reason::Internal, "no callback");
+        client.send({ .to = { .address = "127.0.0.1", .port = server.port } },
+            [&](base::result<http_response> result) {
+                outcome = std::move(result);
+                loop.stop();
+            });
+        loop.run();
+        REQUIRE(outcome);
+        CHECK(outcome->endsWithConnection == item.endsWithConnection);
+    }
+}
+
+TEST_CASE("JSON that is cut off is told from JSON that is whole")
+{
+    // Guards against half a JSON text that is kept as the reply to an order, and against one that is no JSON.
+    struct row {
+        std::string type;
+        std::string body;
+        bool isCut;
+    };
+    for (const row& item : { row { "application/json", R"({"order": 12)", true },
+             row { "application/json; charset=utf-8", "", true },
+             row { "Application/Problem+JSON", R"(["a")", true },
+             row { "application/json", R"({"order": 12})", false }, row { "text/plain", "{", false },
+             row { "", "{", false } }) {
+        CAPTURE(item.body);
+        CHECK(isCutJson({ { "Content-Type", item.type } }, item.body) == item.isCut);
+    }
+}
+
 TEST_CASE("a request and its response are transferred completely")
 {
     // Guards against lost headers, query parameters and bodies, and against invalid reuse of connections.
--- /dev/null
+++ b/tests/support/raw_server.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <net/event_loop.h>
+
+#include <string>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+namespace marigold::testing {
+
+/// Sends the same bytes on each connection once a request head has arrived, so that it can violate HTTP.
+class raw_server {
+public:
+    struct options {
+        std::string start = {};
+        std::string flood = {}; ///< Sent without end after `start`; if empty, the connection is closed.
+        bool endsWithAnswer = false; ///< Nothing listens any more once the first connection is closed.
+    };
+
+    raw_server(net::event_loop& loop, options opts)
+        : m_loop(loop)
+        , m_options(std::move(opts))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        m_listener = evconnlistener_new_bind(loop.handle(), onAccepted, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&address),
+            sizeof(address));
+        socklen_t length = sizeof(address);
+        getsockname(evconnlistener_get_fd(m_listener), reinterpret_cast<sockaddr*>(&address), &length);
+        port = ntohs(address.sin_port);
+    }
+    ~raw_server()
+    {
+        closeConnection();
+        closeListener();
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    std::uint16_t port = 0;
+    std::size_t sentBytes = 0;
+    int requests = 0;
+
+private:
+    static void onAccepted(evconnlistener*, int socket, sockaddr*, int, void* argument)
+    {
+        auto* self = static_cast<raw_server*>(argument);
+        self->closeConnection();
+        self->m_events = bufferevent_socket_new(self->m_loop.handle(), socket, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(self->m_events, onReadable, onWritten, onClosed, self);
+        bufferevent_enable(self->m_events, EV_READ | EV_WRITE);
+    }
+    static void onReadable(bufferevent* events, void* argument)
+    {
+        auto* self = static_cast<raw_server*>(argument);
+        evbuffer* input = bufferevent_get_input(events);
+        if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0)
+            return;
+        evbuffer_drain(input, evbuffer_get_length(input));
+        ++self->requests;
+        self->write(self->m_options.start);
+    }
+    static void onWritten(bufferevent*, void* argument)
+    {
+        auto* self = static_cast<raw_server*>(argument);
+        if (self->sentBytes == 0)
+            return; // The connection is ready for writing, and no request has arrived.
+        if (!self->m_options.flood.empty())
+            return self->write(self->m_options.flood);
+        if (self->m_options.endsWithAnswer)
+            self->closeListener();
+        self->closeConnection();
+    }
+    static void onClosed(bufferevent*, short, void* argument)
+    {
+        static_cast<raw_server*>(argument)->closeConnection();
+    }
+    void write(const std::string& bytes)
+    {
+        sentBytes += bytes.size();
+        bufferevent_write(m_events, bytes.data(), bytes.size());
+    }
+    void closeConnection()
+    {
+        if (m_events)
+            bufferevent_free(std::exchange(m_events, nullptr));
+    }
+    void closeListener()
+    {
+        if (m_listener)
+            evconnlistener_free(std::exchange(m_listener, nullptr));
+    }
+
+    net::event_loop& m_loop;
+    options m_options;
+    evconnlistener* m_listener = nullptr;
+    bufferevent* m_events = nullptr;
+};
+
+} // namespace marigold::testing
