Do not store a block of context that came without its length

A block that an engine exports without length or chunks, and breaks off as it ends, was stored with a checksum of the cut bytes, so that each later check of the block passes (invariant I1). Cause: exportBlock took the end of the connection for the end of the block. Change: such a response is an error, and the block is not saved. Engines that state the length are served as before. Conclusion: what is stored under a checksum has been received with a length.

--- a/src/libs/platform/http_completion_engine.cpp
+++ b/src/libs/platform/http_completion_engine.cpp
@@ -174,6 +174,10 @@
         [done = std::move(done)](base::result<net::http_response> answer) {
             if (const auto checked = checkStatus(answer); !checked)
                 return done(tl::unexpected(checked.error()));
+            // The checksum of a stored block is computed from these bytes, so that nothing finds a cut later.
+            if (answer->endsWithConnection)
+                return done(base::mayHaveRun(
+                    base::error_reason::Unavailable, "the engine sent a block without its length"));
             done(std::move(answer->body));
         });
 }
