Ask whether the target is still there when only its connection ended an answer

Cause: relay_session::answerEnds hands on a promise of completeness that it did not get: an ending process closes its connections as orderly as one that has finished. Change: judgeEnd decides from status, framing, position in the stream and cut JSON. A target that leaves by plan is not asked. All events are forwarded before the check; what waits is the last chunk. Ruled out: giving callers the weaker framing of the target (their libraries take the close for the end as well, and each such answer costs the connection); waiting for the second probe (100 ms for each sound answer). Conclusion: undecidable are a running target that closes between two events, and one that cannot be reached after it closed.

--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -266,13 +266,9 @@
 {
     if (m_ended || m_isTrial || m_isClaimingTrial || !m_services.quarantine.find(m_sharedParts))
         return;
-    if (m_connection) {
-        if (m_answerBegun)
-            return; // Too late to spare the target, and the answer may be a sound one.
-        m_connection->cancel();
-        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
-        releaseTarget();
-    }
+    if (m_target && m_answerBegun)
+        return; // Too late to spare the target, and the answer may be a sound one.
+    abandonAttempt();
     if (m_isQueued)
         m_services.waitQueue.remove(*this);
     refuseBlocked();
@@ -349,13 +345,21 @@
     return true;
 }
 
-void relay_session::deadlineReached()
+void relay_session::abandonAttempt()
 {
-    if (m_connection) {
+    if (!m_target)
+        return;
+    if (m_connection)
         m_connection->cancel();
-        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
-        releaseTarget();
-    }
+    m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
+    releaseTarget();
+}
+
+void relay_session::deadlineReached()
+{
+    if (m_isCheckingEnd)
+        return; // The answer is ready but for the result of one probe.
+    abandonAttempt();
     if (m_verdict == base::verdict::NotRun)
         return sendOwnAnswer(http_status::serviceUnavailable, {}, "time_limit");
     sendOwnAnswer(http_status::gatewayTimeout, {}, "time_limit");
@@ -364,11 +368,7 @@
 void relay_session::callerDisconnected()
 {
     m_caller = nullptr;
-    if (m_connection) {
-        m_connection->cancel();
-        m_verdict = base::combine(m_verdict, base::verdict::MayHaveRun);
-        releaseTarget();
-    }
+    abandonAttempt();
     finish(relay_outcome::CallerGone, 0, "");
 }
 
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -82,7 +82,9 @@
     bool refuseBlocked();
     bool claimTrial(const blocked_part& block);
     void reportAnswered();
-    bool isBrokenOff() const;
+    void endChecked(bool targetEnded);
+    void completeAnswer();
+    void abandonAttempt();
     std::string_view answerProgress() const;
     std::string_view answerFraming() const;
     void reportLost();
@@ -145,6 +147,8 @@
     std::string m_collected;
     event_scanner m_events;
     event_boundary m_boundary; ///< Of the stream of the last answer.
+    bool m_isEventStream = false; ///< The last answer is a stream of server-sent events.
+    bool m_isCheckingEnd = false; ///< The last answer has ended; whether it is complete is not known yet.
     bool m_answerBegun = false; ///< The head of the last answer was received.
     bool m_callerHasHead = false;
     bool m_ended = false;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -1,3 +1,4 @@
+#include "answer_end.h"
 #include "events.h"
 #include "http_status.h"
 #include "relay_session.h"
@@ -60,6 +61,7 @@
         return true;
     }
     const bool stream = m_route->kind == request_kind::Stream && head.status < http_status::badRequest;
+    m_isEventStream = stream && mayBeEventStream(head);
     m_answer = answer_state::Collecting;
     if (stream)
         beginForwarding();
@@ -182,28 +184,56 @@
 void relay_session::answerEnds()
 {
     const std::shared_ptr<target_record> target = m_target;
-    const answer_state answer = m_answer;
-    if (answer == answer_state::Refused) {
+    if (m_answer == answer_state::Refused) {
         --m_possibleRuns;
         return attemptFailed({ .verdict = base::verdict::NotRun,
             .reason = base::error_reason::Overloaded,
             .message = fmt::format("refused with {}", m_answerHead.status) });
     }
-    if (answer == answer_state::Failed) {
+    if (m_answer == answer_state::Failed) {
         m_services.targets.observe(*target, true);
         return attemptFailed({ .verdict = base::verdict::Ran,
             .reason = base::error_reason::Unavailable,
             .message = fmt::format("failed with {}", m_answerHead.status) });
     }
-    if (isBrokenOff())
+    const answer_end end = judgeEnd({ .status = m_answerHead.status,
+        .framing = m_answerHead.framing,
+        .isCutJson = m_answer == answer_state::Collecting && m_answerHead.framing == body_framing::UntilClose
+            && net::isCutJson(m_answerHead.headers, m_collected),
+        .stream = m_isEventStream ? &m_boundary : nullptr,
+        .targetIsLeaving = target->removed || target->registration.draining });
+    if (end == answer_end::BrokenOff)
         return answerFails({ .verdict = base::verdict::MayHaveRun,
             .reason = base::error_reason::StreamBroken,
-            .message = "stream broken off by the target" });
-    m_services.targets.observe(*target, m_answerHead.status >= http_status::serverError);
+            .message = "answer broken off by the target" });
+    if (end == answer_end::Complete)
+        return completeAnswer();
+    m_connection = nullptr; // Closed; it may be destroyed before the check ends.
+    m_isCheckingEnd = true;
+    m_services.targetEnds.checkEnded(
+        target->registration, [this, alive = std::weak_ptr(m_alive)](bool ended) {
+            if (!alive.expired() && !m_ended)
+                endChecked(ended);
+        });
+}
+
+void relay_session::endChecked(bool targetEnded)
+{
+    m_isCheckingEnd = false;
+    if (!targetEnded)
+        return completeAnswer();
+    answerFails({ .verdict = base::verdict::MayHaveRun,
+        .reason = base::error_reason::StreamBroken,
+        .message = "target ended when it closed the answer" });
+}
+
+void relay_session::completeAnswer()
+{
+    m_services.targets.observe(*m_target, m_answerHead.status >= http_status::serverError);
     releaseTarget();
     m_verdict = base::verdict::Ran;
     reportAnswered();
-    if (answer == answer_state::Collecting) {
+    if (m_answer == answer_state::Collecting) {
         m_caller->answer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead), m_collected);
     } else {
         m_caller->writeChunk(m_events.takePartial());
@@ -212,15 +242,6 @@
     finish(relay_outcome::Answered, m_answerHead.status, {});
 }
 
-bool relay_session::isBrokenOff() const
-{
-    if (m_route->kind != request_kind::Stream || m_answerHead.status >= http_status::badRequest)
-        return false;
-    // The end of the connection tells nothing of the end of the stream if there was no event.
-    return m_boundary.insideEvent()
-        || (m_answerHead.framing == body_framing::UntilClose && !m_boundary.hasEvent());
-}
-
 std::string_view relay_session::answerProgress() const
 {
     if (!m_answerBegun)
--- a/src/libs/relay/target_end_detector.cpp
+++ b/src/libs/relay/target_end_detector.cpp
@@ -27,13 +27,25 @@
     return fmt::format("{}/{}", target.id, target.startedAtMs);
 }
 
-void target_end_detector::requestLost(const target_registration& target, lost_request request)
+target_end_detector::loss& target_end_detector::recordFor(const target_registration& target)
 {
     removeOld();
-    const std::string incarnation = incarnationOf(target);
-    loss& record = m_losses[incarnation];
+    loss& record = m_losses[incarnationOf(target)];
     record.target = target;
     record.at = m_clock.now();
+    return record;
+}
+
+bool target_end_detector::hasEnded(std::string_view incarnation) const
+{
+    const auto found = m_losses.find(incarnation);
+    return found != m_losses.end() && found->second.ended;
+}
+
+void target_end_detector::requestLost(const target_registration& target, lost_request request)
+{
+    const std::string incarnation = incarnationOf(target);
+    loss& record = recordFor(target);
     if (record.ended) {
         m_ended(record.target, incarnation, { std::move(request) });
         return;
@@ -49,6 +61,19 @@
     record.probes = std::max(record.probes, 1);
 }
 
+void target_end_detector::checkEnded(const target_registration& target, std::function<void(bool ended)> done)
+{
+    recordFor(target); // A registration that changes meanwhile confirms the end.
+    const auto probed
+        = [this, incarnation = incarnationOf(target), done = std::move(done)](net::probe_result result) {
+              if (result == net::probe_result::Refused)
+                  confirm(incarnation);
+              done(result == net::probe_result::Refused || hasEnded(incarnation));
+          };
+    m_timers.runAfter(m_options.settleTime,
+        [this, address = target.address, probed] { m_probe(address, m_options.probeTimeout, probed); });
+}
+
 void target_end_detector::probe(const std::string& incarnation)
 {
     const auto found = m_losses.find(incarnation);
--- a/src/libs/relay/target_end_detector.h
+++ b/src/libs/relay/target_end_detector.h
@@ -49,6 +49,10 @@
     /// Records that \a target closed the connection of \a request.
     void requestLost(const target_registration& target, lost_request request);
 
+    /// Probes whether \a target has ended, since it closed the connection of an answer whose end nothing else
+    /// tells. \a done is called once, after one probe; a target that can't be reached counts as running.
+    void checkEnded(const target_registration& target, std::function<void(bool ended)> done);
+
     /// Records a registration; a new one at the address of a target confirms that it has ended.
     void targetRegistered(const target_registration& target);
     void targetRemoved(std::string_view id);
@@ -66,6 +70,9 @@
         bool ended = false;
     };
 
+    loss& recordFor(const target_registration& target);
+    bool hasEnded(std::string_view incarnation) const;
+
     void probe(const std::string& incarnation);
     void probed(const std::string& incarnation, net::probe_result result);
     void confirm(const std::string& incarnation);
--- a/tests/libs/relay/target_end_detector_test.cpp
+++ b/tests/libs/relay/target_end_detector_test.cpp
@@ -67,6 +67,37 @@
     }
 }
 
+TEST_CASE("a target that closed an answer has ended if nothing listens at its address")
+{
+    // Guards against an answer that counts as complete though its target ended in the middle of it.
+    struct row {
+        std::string name;
+        probe_result result;
+        std::optional<std::uint64_t>
+            registeredStart; ///< Start time of a run that registers before the probe.
+        bool ended;
+    };
+    for (const row& item : { row { "refused", probe_result::Refused, {}, true },
+             row { "accepted", probe_result::Accepted, {}, false },
+             row { "unreachable", probe_result::Unknown, {}, false },
+             row { "started again", probe_result::Accepted, 6, true },
+             row { "registered as before", probe_result::Accepted, 5, false } }) {
+        CAPTURE(item.name);
+        fixture f;
+        f.results = { item.result };
+        std::optional<bool> ended;
+        f.detector.checkEnded(f.target, [&](bool result) { ended = result; });
+        if (item.registeredStart)
+            f.detector.targetRegistered(
+                { .id = "t", .service = "svc", .startedAtMs = *item.registeredStart });
+        CHECK_FALSE(ended);
+        f.timers.advance(std::chrono::milliseconds(10));
+        REQUIRE(ended);
+        CHECK(*ended == item.ended);
+        CHECK(f.probes == 1);
+    }
+}
+
 TEST_CASE("a removed or replaced registration confirms the end of a target for a while")
 {
     // Guards against missing the end of a target that is back before the probe.
