Reset the connection of a broken answer for callers without chunked encoding

A caller of HTTP/1.0 got a chunked answer, which it does not know, and the close that ended a broken answer was the same as that of a whole one. Cause: caller_connection knew two framings and took chunks for granted. Change: such a caller gets an answer that ends with its connection, and a reset if the answer is not whole (aborted, not written in time, or the process stops). Evidence: broken_stream_test, 'a caller without chunked encoding is told by a reset ...', fails in 'time limit after an event' when the connection is closed orderly; platform_adapter_test 37 of 37 with the change. Conclusion: only the kill of the relay itself still looks like an end to such a caller.

--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -51,7 +51,7 @@
 {
     stopTimer();
     if (m_events)
-        bufferevent_free(m_events);
+        freeEvents();
 }
 
 void caller_connection::onReadable(::bufferevent*, void* self)
@@ -118,6 +118,7 @@
         stopTimer();
         m_state = state::Handling;
         m_keepAlive = m_head.keepAlive;
+        m_acceptsChunks = m_head.acceptsChunks;
         m_parser.reset();
         std::string body = std::move(m_body);
         m_body = {};
@@ -156,8 +157,11 @@
 {
     if (m_state != state::Handling)
         return;
-    headers.add("Transfer-Encoding", "chunked");
-    if (m_closeAfterAnswer || !m_keepAlive)
+    if (m_acceptsChunks)
+        headers.add("Transfer-Encoding", "chunked");
+    else
+        m_endsWithConnection = true;
+    if (m_closeAfterAnswer || !m_keepAlive || m_endsWithConnection)
         headers.add("Connection", "close");
     write(answerHeadText(status, headers));
 }
@@ -166,6 +170,8 @@
 {
     if (m_state != state::Handling || chunk.empty())
         return;
+    if (m_endsWithConnection)
+        return write(chunk);
     std::string text = fmt::format("{:x}\r\n", chunk.size());
     text += chunk;
     text += "\r\n";
@@ -176,14 +182,15 @@
 {
     if (m_state != state::Handling)
         return;
-    write("0\r\n\r\n");
+    if (!m_endsWithConnection)
+        write("0\r\n\r\n");
     requestEnded();
 }
 
 void caller_connection::requestEnded()
 {
     m_handler = nullptr;
-    if (m_closeAfterAnswer || !m_keepAlive)
+    if (m_closeAfterAnswer || !m_keepAlive || m_endsWithConnection)
         return beginClosing();
     m_state = state::Idle;
     startTimer(m_options.limits.idleTimeout);
@@ -213,7 +220,9 @@
 void caller_connection::abort()
 {
     m_handler = nullptr;
-    if (m_state != state::Closed)
+    if (m_endsWithConnection)
+        close();
+    else if (m_state != state::Closed)
         beginClosing();
 }
 
@@ -246,13 +255,23 @@
     m_loop.cancel(std::exchange(m_timer, 0));
 }
 
+void caller_connection::freeEvents()
+{
+    // An orderly close would complete an answer that has no other end.
+    if (m_endsWithConnection && (m_state == state::Handling || pendingBytes() > 0)) {
+        const linger none { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(bufferevent_getfd(m_events), SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    }
+    bufferevent_free(std::exchange(m_events, nullptr));
+}
+
 void caller_connection::close()
 {
     if (m_state == state::Closed)
         return;
-    m_state = state::Closed;
     stopTimer();
-    bufferevent_free(std::exchange(m_events, nullptr));
+    freeEvents();
+    m_state = state::Closed;
     if (caller_request_handler* handler = std::exchange(m_handler, nullptr))
         handler->callerDisconnected();
     m_options.onClosed(*this);
--- a/src/libs/relay/caller_connection.h
+++ b/src/libs/relay/caller_connection.h
@@ -55,15 +55,16 @@
     /// Sends a complete answer and ends the request.
     void answer(int status, net::http_headers headers, std::string_view body);
 
-    /// Begins an answer with chunked transfer encoding.
+    /// Begins an answer with chunked transfer encoding, or for a caller that does not know it, an answer that
+    /// ends with its connection.
     void beginAnswer(int status, net::http_headers headers);
     void writeChunk(std::string_view chunk);
 
     /// Sends the last chunk and ends the request.
     void endAnswer();
 
-    /// Closes the connection after the pending bytes without completing the answer, so that the caller
-    /// detects that it is partial.
+    /// Ends the connection without completing the answer, so that the caller detects that it is partial:
+    /// after the pending bytes if the answer is chunked, and with a reset otherwise.
     void abort();
 
     /// Closes the connection after the next answer, which announces it with `Connection: close`.
@@ -100,6 +101,7 @@
     void beginClosing();
     void lastBytesWritten();
     void close();
+    void freeEvents();
     void startTimer(base::duration limit);
     void stopTimer();
     void write(std::string_view bytes);
@@ -113,6 +115,8 @@
     bool m_bodyTooLarge = false;
     bool m_rejected = false; ///< The request was rejected before its end was read.
     bool m_keepAlive = true;
+    bool m_acceptsChunks = true;
+    bool m_endsWithConnection = false; ///< The current answer has neither a length nor chunks.
     bool m_closeAfterAnswer = false;
     state m_state = state::Idle;
     caller_request_handler* m_handler = nullptr;
--- a/src/libs/relay/message_parser.cpp
+++ b/src/libs/relay/message_parser.cpp
@@ -150,6 +150,7 @@
         head.method = http_method_str(static_cast<http_method>(parser->method));
     head.status = isRequest ? 0 : static_cast<int>(parser->status_code);
     head.keepAlive = http_should_keep_alive(parser) != 0;
+    head.acceptsChunks = parser->http_major > 1 || (parser->http_major == 1 && parser->http_minor > 0);
     if (parser->flags & F_CHUNKED)
         head.framing = body_framing::Chunked;
     else if (parser->content_length != ~std::uint64_t { 0 }) {
--- a/src/libs/relay/message_parser.h
+++ b/src/libs/relay/message_parser.h
@@ -30,6 +30,7 @@
     body_framing framing = body_framing::None;
     std::uint64_t contentLength = 0;
     bool keepAlive = false;
+    bool acceptsChunks = true; ///< Requests only: false for HTTP/1.0, which has no chunked encoding.
 };
 
 /// Incremental HTTP/1.1 parser based on http_parser. Rejects messages that two parsers could interpret
