--- a/scripts/switch_off.py
+++ b/scripts/switch_off.py
@@ -3,8 +3,8 @@
 
     scripts/switch_off.py --copy /tmp/copy [--only RULE]
 
-Works on a clone of this repository under --copy. Each row changes one place in the sources, builds the tests of the relay and of
-the platform adapter, and runs them. The exit status is 1 if a row has no failing test.
+Works on a clone of this repository under --copy. Each row changes one place in the sources, builds the tests of its folder (of
+the relay and the platform adapter, if it is a file of these), and runs them. The exit status is 1 if a row has no failing test.
 """
 
 import argparse
@@ -129,20 +129,46 @@
     ("crashing parts", "each process starts each trial", RELAY + "quarantine_exchange.cpp", ".expectedRevision = 0,", ""),
     ("crashing parts", "blocks are not passed on again", RELAY + "quarantine_exchange.cpp",
      "!batch.records.empty() && !m_peers.empty()", "false"),
-    ("ORDER", "a stream that ends inside an event is complete", RELAY + "relay_session_answer.cpp", "if (isBrokenOff())", "if (false)"),
+    ("ORDER", "a stream that ends inside an event is complete", RELAY + "answer_end.cpp",
+     "if (answer.stream && answer.stream->insideEvent())\n        return answer_end::BrokenOff;", ""),
+    ("ORDER", "an answer that ends with its connection is complete though its target ended", RELAY + "answer_end.cpp",
+     "answer.targetIsLeaving ? answer_end::Complete : answer_end::CheckTarget", "answer_end::Complete"),
+    ("ORDER", "the result of the probe is not used", RELAY + "target_end_detector.cpp",
+     "done(result == net::probe_result::Refused || hasEnded(incarnation));", "done(hasEnded(incarnation));"),
+    ("ORDER", "a target that started again counts as the one that closed the answer", RELAY + "target_end_detector.cpp",
+     "done(result == net::probe_result::Refused || hasEnded(incarnation));", "done(result == net::probe_result::Refused);"),
+    ("ORDER", "a carriage return alone ends no line", RELAY + "event_scanner.cpp",
+     "if (byte == '\\r' || byte == '\\n') {", "if (byte == '\\r') continue; if (byte == '\\n') {"),
+    ("ORDER", "comments count as events", RELAY + "event_scanner.cpp", "(m_atLineStart && byte != ':')", "m_atLineStart"),
+    ("ORDER", "a broken stream ends orderly for a caller without chunks", RELAY + "caller_connection.cpp",
+     "if (m_endsWithConnection && (m_state == state::Handling || pendingBytes() > 0)) {", "if (false) {"),
+    ("ORDER", "JSON that is cut off is complete", RELAY + "answer_end.cpp", "answer.isCutJson ||", ""),
+    ("ORDER", "a reply without a length is kept though its service ended", "src/libs/agent/http_plain_service.cpp",
+     "if (result == net::probe_result::Refused)", "if (false)"),
+    ("ORDER", "a reply of cut JSON is kept", "src/libs/agent/http_plain_service.cpp",
+     "if (net::isCutJson(answer->headers, reply.body))", "if (false)"),
+    ("ORDER", "a block without a length is kept", "src/libs/platform/http_completion_engine.cpp",
+     "if (answer->endsWithConnection)", "if (false)"),
+    ("ORDER", "a completion without its final event is complete", "src/libs/platform/http_completion_engine.cpp",
+     "if (!state.end || state.malformed)", "if (false)"),
 ]
 
+# Programs that test a row, by the folder of its file.
+TESTS = {"src/libs/agent/": ["agent_test"], "src/libs/platform/": ["platform_test"]}
+RELAY_TESTS = ["relay_test", "platform_adapter_test"]
+
 
 def run(command, folder):
     return subprocess.run(command, cwd=folder, capture_output=True, text=True)
 
 
-def failing_tests(copy, with_processes):
-    build = run(["cmake", "--build", "build", "--target", "relay_test", "platform_adapter_test", "marigold-relay"], copy)
+def failing_tests(copy, tests, with_processes):
+    targets = tests + (["marigold-relay"] if with_processes else [])
+    build = run(["cmake", "--build", "build", "--target", *targets], copy)
     if build.returncode != 0:
         return ["(does not build)"]
     names = []
-    for test in ("relay_test", "platform_adapter_test"):
+    for test in tests:
         try:
             done = subprocess.run([f"build/tests/{test}"], cwd=copy, capture_output=True, text=True, timeout=600,
                                   env={"RC_PARAMS": "seed=20261204"})
@@ -180,7 +206,7 @@
             continue
         file.write_text(changed)
         try:
-            failed = failing_tests(copy, rule == PROCESS_RULE)
+            failed = failing_tests(copy, TESTS.get(name.rpartition("/")[0] + "/", RELAY_TESTS), rule == PROCESS_RULE)
         finally:
             file.write_text(text)
         undetected += not failed or failed == ["(does not build)"]
