--- a/src/libs/relay/target_end_detector.cpp
+++ b/src/libs/relay/target_end_detector.cpp
@@ -68,7 +68,7 @@
         = [this, incarnation = incarnationOf(target), done = std::move(done)](net::probe_result result) {
               if (result == net::probe_result::Refused)
                   confirm(incarnation);
-              done(result == net::probe_result::Refused || hasEnded(incarnation));
+              done(hasEnded(incarnation));
           };
     m_timers.runAfter(m_options.settleTime,
         [this, address = target.address, probed] { m_probe(address, m_options.probeTimeout, probed); });
