Weigh the evidence against parts once for each piece of evidence

Change: an index from parts to the ends that accuse them is built once; the accused parts are weighed again only if an end of theirs has been explained. Blocks are reported after the last use of the index.

--- a/src/libs/relay/part_quarantine.cpp
+++ b/src/libs/relay/part_quarantine.cpp
@@ -95,7 +95,7 @@
         const bool blocked = m_blocks.contains(part);
         if (found == m_suspects.end() && !blocked)
             continue;
-        const evidence_list evidence = evidenceAgainst(part, {});
+        const evidence_list evidence = evidenceAgainst(part);
         // A part that all processes know to be sound is answered at many of them; one end less than required
         // is no danger.
         const bool isPending = blocked || weightOf(part, evidence) >= requiredWeight(part) - 1;
@@ -277,17 +277,35 @@
     return (request.answerBegun || !end.answerBegun) && contains(request.parts, part);
 }
 
-part_quarantine::evidence_list part_quarantine::evidenceAgainst(
-    std::string_view part, const target_set& explained) const
+part_quarantine::evidence_index part_quarantine::indexEvidence() const
+{
+    evidence_index index;
+    for (const end_record& end : m_ends)
+        for (const target_end& request : end.requests) {
+            if (!request.answerBegun && end.answerBegun)
+                continue;
+            for (const std::string& part : request.parts) {
+                evidence_list& evidence = index[part];
+                if (evidence.empty() || evidence.back() != &end)
+                    evidence.push_back(&end);
+            }
+        }
+    for (auto& [part, evidence] : index)
+        if (const auto item = m_suspects.find(part); item != m_suspects.end())
+            std::erase_if(evidence, [&](const end_record* end) { return end->at <= item->second.clearedAt; });
+    return index;
+}
+
+part_quarantine::evidence_list part_quarantine::evidenceAgainst(std::string_view part) const
 {
     const auto item = m_suspects.find(part);
     const base::time_point clearedAt
         = item == m_suspects.end() ? base::time_point::min() : item->second.clearedAt;
     evidence_list evidence;
     for (const end_record& end : m_ends)
-        if (end.at > clearedAt && !explained.contains(end.target)
-            && std::ranges::any_of(
-                end.requests, [&](const target_end& request) { return accuses(end, request, part); }))
+        if (end.at > clearedAt && std::ranges::any_of(end.requests, [&](const target_end& request) {
+                return accuses(end, request, part);
+            }))
             evidence.push_back(&end);
     return evidence;
 }
@@ -346,53 +364,64 @@
     return common;
 }
 
+std::vector<part_quarantine::accused_part> part_quarantine::accusedParts(const evidence_index& index) const
+{
+    std::vector<accused_part> accused;
+    for (const auto& [part, item] : m_suspects) {
+        const double required = requiredWeight(part);
+        const auto found = index.find(part);
+        if (item.mentions < required || found == index.end())
+            continue;
+        const double weight = weightOf(part, found->second);
+        if (weight >= required)
+            accused.push_back(
+                { .part = part, .evidence = found->second, .weight = weight, .required = required });
+    }
+    return accused;
+}
+
 void part_quarantine::recompute()
 {
-    target_set explained;
-    std::set<std::string, std::less<>> derived;
-    while (true) {
-        std::string_view worst;
-        double worstWeight = 0;
-        for (const auto& [part, item] : m_suspects) {
-            if (item.mentions < requiredWeight(part))
-                continue;
-            const evidence_list evidence = evidenceAgainst(part, explained);
-            const double weight = weightOf(part, evidence);
-            if (weight >= requiredWeight(part) && weight > worstWeight) {
-                worst = part;
-                worstWeight = weight;
-            }
-        }
-        if (worst.empty())
-            break;
-        const std::string part(worst);
-        const evidence_list evidence = evidenceAgainst(part, explained);
-        for (const end_record* end : evidence)
-            explained.insert(end->target);
-        derived.insert(part);
-        block(part, evidence);
+    const evidence_index index = indexEvidence();
+    std::vector<accused_part> accused = accusedParts(index);
+    std::set<const end_record*> explained;
+    const auto isExplained = [&](const end_record* end) { return explained.contains(end); };
+    std::vector<blocked_part> found;
+    while (!accused.empty()) {
+        const auto worst = std::ranges::max_element(accused, {}, &accused_part::weight);
+        explained.insert(worst->evidence.begin(), worst->evidence.end());
+        found.push_back(blockFor(worst->part, worst->evidence));
+        accused.erase(worst);
+        for (accused_part& other : accused)
+            if (std::erase_if(other.evidence, isExplained) > 0)
+                other.weight = weightOf(other.part, other.evidence);
+        std::erase_if(accused, [](const accused_part& item) { return item.weight < item.required; });
     }
     // What was taken for the cause before may be explained by another part now.
     std::vector<std::string> unfounded;
-    for (const auto& [part, record] : m_blocks)
-        if (!record.byOperator && !derived.contains(part) && !evidenceAgainst(part, {}).empty()
-            && evidenceAgainst(part, explained).empty())
+    for (const auto& [part, record] : m_blocks) {
+        const auto accusing = index.find(part);
+        const bool isFound = std::ranges::find(found, part, &blocked_part::part) != found.end();
+        if (!record.byOperator && !isFound && accusing != index.end() && !accusing->second.empty()
+            && std::ranges::all_of(accusing->second, isExplained))
             unfounded.push_back(part);
+    }
+    for (const blocked_part& block : found)
+        addBlock(block, false);
     for (const std::string& part : unfounded)
         removeBlock(part, "explained by another part");
 }
 
-void part_quarantine::block(std::string_view part, const evidence_list& evidence)
+blocked_part part_quarantine::blockFor(std::string_view part, const evidence_list& evidence) const
 {
     std::vector<std::string> targets;
     const std::size_t first = evidence.size() - std::min(evidence.size(), maxTargetsPerBlock);
     for (std::size_t i = first; i < evidence.size(); ++i)
         targets.push_back(evidence[i]->target);
-    addBlock({ .part = std::string(part),
-                 .with = commonParts(part, evidence),
-                 .ends = static_cast<int>(evidence.size()),
-                 .targets = targets },
-        false);
+    return { .part = std::string(part),
+        .with = commonParts(part, evidence),
+        .ends = static_cast<int>(evidence.size()),
+        .targets = targets };
 }
 
 void part_quarantine::addBlock(const blocked_part& block, bool byOperator)
--- a/src/libs/relay/part_quarantine.h
+++ b/src/libs/relay/part_quarantine.h
@@ -170,10 +170,19 @@
         base::time_point probationUntil {};
     };
     using evidence_list = std::vector<const end_record*>;
-    using target_set = std::set<std::string, std::less<>>;
+    using evidence_index = std::unordered_map<std::string_view, evidence_list>; ///< By part; oldest first.
+    /// A part with enough evidence for a block.
+    struct accused_part {
+        std::string part;
+        evidence_list evidence;
+        double weight = 0;
+        double required = 0;
+    };
 
     bool accuses(const end_record& end, const target_end& request, std::string_view part) const;
-    evidence_list evidenceAgainst(std::string_view part, const target_set& explained) const;
+    evidence_index indexEvidence() const;
+    evidence_list evidenceAgainst(std::string_view part) const;
+    std::vector<accused_part> accusedParts(const evidence_index& index) const;
     double weightOf(std::string_view part, const evidence_list& evidence) const;
     double requiredWeight(std::string_view part) const;
     std::vector<std::string> commonParts(std::string_view part, const evidence_list& evidence) const;
@@ -183,7 +192,7 @@
     void addEvidence(const blocked_part& block);
     void clear(std::string_view part, std::string_view reason);
     void recompute();
-    void block(std::string_view part, const evidence_list& evidence);
+    blocked_part blockFor(std::string_view part, const evidence_list& evidence) const;
     void addBlock(const blocked_part& block, bool byOperator);
     void removeBlock(std::string_view part, std::string_view reason);
     void retainSuspects();
