--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -56,7 +56,7 @@
               .released
               = [this](std::string_view part, std::string_view reason) { partReleased(part, reason); },
               .sound = [this](const sound_part& report) { m_quarantineExchange.partSound(report); } },
-          {})
+          m_options.quarantine)
     , m_catalog(time, {})
     , m_waitQueue(loop, time, {})
     , m_metrics(ports.metrics)
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -58,6 +58,7 @@
     base::duration noticePeriod = std::chrono::milliseconds(2900);
     /// Longest duration of a graceful shutdown; requests that are still running are then aborted.
     base::duration drainLimit = std::chrono::seconds(7);
+    part_quarantine::options quarantine = {};
 };
 
 /// The relay process between the callers and the targets of one VM.
