Do not reuse a connection on which more than the response has arrived

A server that sent a response twice in one write had its copy taken for the response to the next request on that connection: another key of the platform's store, another block, another call of an agent. Cause: the pool of http_client asked only whether the connection was open. evhttp keeps the bytes behind a complete response in its input, and reads them as the next response. Change: a connection is put into the pool, and taken from it, only if no byte waits in its input or in its socket. The copy that arrives while the connection is idle was refused before as well (evhttp). No test shows the look into the socket, which is for bytes that arrive in the turn of the loop in which the connection is used again.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include <cerrno>
 #include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -47,6 +48,18 @@
     return socket >= 0 && getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &length) == 0;
 }
 
+/// Returns whether \a connection can carry another request. Bytes that have arrived without a request would
+/// be taken for the response to the next one.
+bool isReusable(evhttp_connection* connection)
+{
+    bufferevent* events = evhttp_connection_get_bufferevent(connection);
+    if (!isConnected(connection) || evbuffer_get_length(bufferevent_get_input(events)) > 0)
+        return false;
+    char byte = 0;
+    const ssize_t received = recv(bufferevent_getfd(events), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void freeConnection(evutil_socket_t, short, void* connection)
 {
     evhttp_connection_free(static_cast<evhttp_connection*>(connection));
@@ -106,7 +119,7 @@
     while (!fresh && !pool.empty()) {
         evhttp_connection* connection = pool.back();
         pool.pop_back();
-        if (isConnected(connection))
+        if (isReusable(connection))
             return connection;
         freeLater(connection);
     }
@@ -120,7 +133,7 @@
 void http_client::private_data::releaseConnection(const endpoint& to, evhttp_connection* connection)
 {
     auto& pool = idle[to.text()];
-    if (pool.size() < maxIdleConnections && isConnected(connection))
+    if (pool.size() < maxIdleConnections && isReusable(connection))
         pool.push_back(connection);
     else
         freeLater(connection);
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -112,6 +112,38 @@
     }
 }
 
+TEST_CASE("a second copy of a response is not taken for the response to the next request")
+{
+    // Guards against a caller that gets the response to an earlier request on a reused connection.
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    struct row {
+        std::string name;
+        testing::raw_server::options server;
+    };
+    for (const row& item :
+        { row { "one response each", { .start = first, .later = second } },
+            row { "with the first response", { .start = first + first, .later = second } },
+            row { "a part of a copy", { .start = first + "HTTP/1.1 200", .later = second } },
+            row { "while the connection is idle", { .start = first, .later = second, .unasked = first } } }) {
+        CAPTURE(item.name);
+        event_loop loop;
+        testing::raw_server server(loop, item.server);
+        http_client client(loop);
+        for (const std::string expected : { "first", "second" }) {
+            base::result<http_response> outcome = base::notRun(base::error_reason::Internal, "no callback");
+            client.send({ .to = { .address = "127.0.0.1", .port = server.port } },
+                [&](base::result<http_response> result) {
+                    outcome = std::move(result);
+                    loop.runAfter(std::chrono::milliseconds(40), [&loop] { loop.stop(); });
+                });
+            loop.run();
+            REQUIRE(outcome);
+            CHECK(outcome->body == expected);
+        }
+    }
+}
+
 TEST_CASE("JSON that is cut off is told from JSON that is whole")
 {
     // Guards against half a JSON text that is kept as the reply to an order, and against one that is no JSON.
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -18,6 +18,8 @@
     struct options {
         std::string start = {};
         std::string flood = {}; ///< Sent without end after `start`; if empty, the connection is closed.
+        std::string later = {}; ///< Sent for each request after the first one; the connection stays open.
+        std::string unasked = {}; ///< Sent on the open connection some time after `start`.
         bool endsWithAnswer = false; ///< Nothing listens any more once the first connection is closed.
     };
 
@@ -37,6 +39,7 @@
     }
     ~raw_server()
     {
+        m_loop.cancel(m_timer);
         closeConnection();
         closeListener();
     }
@@ -64,7 +67,14 @@
             return;
         evbuffer_drain(input, evbuffer_get_length(input));
         ++self->requests;
-        self->write(self->m_options.start);
+        self->write(self->requests == 1 || self->m_options.later.empty() ? self->m_options.start
+                                                                         : self->m_options.later);
+        if (self->requests == 1 && !self->m_options.unasked.empty())
+            self->m_timer = self->m_loop.runAfter(std::chrono::milliseconds(20), [self] {
+                self->m_timer = 0;
+                if (self->m_events)
+                    self->write(self->m_options.unasked);
+            });
     }
     static void onWritten(bufferevent*, void* argument)
     {
@@ -73,6 +83,8 @@
             return; // The connection is ready for writing, and no request has arrived.
         if (!self->m_options.flood.empty())
             return self->write(self->m_options.flood);
+        if (!self->m_options.later.empty())
+            return;
         if (self->m_options.endsWithAnswer)
             self->closeListener();
         self->closeConnection();
@@ -101,6 +113,7 @@
     options m_options;
     evconnlistener* m_listener = nullptr;
     bufferevent* m_events = nullptr;
+    base::timer_id m_timer = 0;
 };
 
 } // namespace marigold::testing
