--- a/tests/libs/platform/completion_engine_test.cpp
+++ b/tests/libs/platform/completion_engine_test.cpp
@@ -40,10 +40,10 @@
     // Guards against a completion that an ending engine broke off between two events, in any framing.
     const std::string event = "data: {\"index\": 0, \"text\": \"a\"}\n\n";
     const std::string head = "HTTP/1.1 200 OK\r\n";
-    for (const std::string& answer :
-        { head + "\r\n" + event, fmt::format("{}Content-Length: {}\r\n\r\n{}", head, event.size(), event),
-            fmt::format(
-                "{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", head, event.size(), event) }) {
+    for (const std::string& answer : { fmt::format("{}\r\n{}", head, event),
+             fmt::format("{}Content-Length: {}\r\n\r\n{}", head, event.size(), event),
+             fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n", head, event.size(),
+                 event) }) {
         CAPTURE(answer);
         net::event_loop loop;
         testing::raw_server server(loop, { .start = answer });
