--- a/src/libs/agent/http_plain_service.cpp
+++ b/src/libs/agent/http_plain_service.cpp
@@ -8,6 +8,8 @@
 
 /// Time in which an ending service closes its listening socket after its connections.
 constexpr auto settleTime = std::chrono::milliseconds(5);
+
+/// A service that can't be reached within this time counts as running.
 constexpr auto probeTimeout = std::chrono::milliseconds(300);
 
 } // namespace
--- a/src/libs/relay/answer_end.h
+++ b/src/libs/relay/answer_end.h
@@ -18,7 +18,7 @@
 struct ended_answer {
     int status = 0;
     body_framing framing = body_framing::None;
-    bool isCutJson = false;
+    bool isCutJson = false; ///< The body is stated to be JSON and can't be parsed.
     const event_boundary* stream = nullptr; ///< Position in the stream of events; null for another body.
     bool targetIsLeaving = false; ///< The target ends soon by plan; its last answers are complete.
 };
--- a/src/libs/relay/part_quarantine.h
+++ b/src/libs/relay/part_quarantine.h
@@ -179,6 +179,7 @@
         double required = 0;
     };
 
+    static bool contains(std::span<const std::string> parts, std::string_view part);
     bool accuses(const end_record& end, const target_end& request, std::string_view part) const;
     evidence_index indexEvidence() const;
     evidence_list evidenceAgainst(std::string_view part) const;
