Judge each named weight version from its own time

Cause: target_chooser kept the time of the newest wanted version only. Version 3 was named at 16.1 s, 3.7 s after version 2, and the time limit of version 2 began anew with it. Change: the chooser keeps the versions whose limit has not passed, and gives up what is older than the newest one whose limit has.

--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -13,9 +13,22 @@
 
 void target_chooser::setWantedVersion(std::string_view model, int version)
 {
-    wanted_version& wanted = m_wantedVersions[std::string(model)];
-    if (version > wanted.version)
-        wanted = { .version = version, .since = m_clock.now() };
+    std::vector<wanted_version>& wanted = m_wantedVersions[std::string(model)];
+    if (!wanted.empty() && version <= wanted.back().version)
+        return;
+    const int overdue = overdueVersion(model);
+    std::erase_if(wanted, [overdue](const wanted_version& item) { return item.version < overdue; });
+    wanted.push_back({ .version = version, .since = m_clock.now() });
+}
+
+int target_chooser::overdueVersion(std::string_view model) const
+{
+    int overdue = 0;
+    if (const auto found = m_wantedVersions.find(model); found != m_wantedVersions.end())
+        for (const wanted_version& item : found->second)
+            if (m_clock.now() - item.since >= oldWeightsLimit())
+                overdue = item.version;
+    return overdue;
 }
 
 base::duration target_chooser::oldWeightsLimit() const
@@ -29,16 +42,14 @@
     if (request.model.empty())
         return {};
     const auto found = m_wantedVersions.find(request.model);
-    const wanted_version wanted = found == m_wantedVersions.end() ? wanted_version {} : found->second;
+    const int wanted = found == m_wantedVersions.end() ? 0 : found->second.back().version;
     // Targets may already have a version that this process has not been notified of.
     const int newest = m_targets.newestVersion(request.service, request.model);
-    const int required = std::max(wanted.version, newest);
+    const int required = std::max(wanted, newest);
     if (required == 0)
         return {};
-    const bool late = required == wanted.version && m_clock.now() - wanted.since >= oldWeightsLimit();
-    const int usable = late
-        ? required
-        : m_targets.versionOfShare(request.service, request.model, m_options.newWeightsShare);
+    const int usable = std::max(overdueVersion(request.model),
+        m_targets.versionOfShare(request.service, request.model, m_options.newWeightsShare));
     m_targets.stopUsingOlderWeights(request.model, usable);
     return usable >= required ? std::to_string(required) : std::string();
 }
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -4,6 +4,7 @@
 
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace marigold::relay {
 
@@ -21,7 +22,7 @@
     std::span<const routing::target_index> triedTargets = {};
 };
 
-/// Newest weight version that the operator wants for a model.
+/// A weight version that the operator wants for a model.
 struct wanted_version {
     int version = 0;
     base::time_point since {}; ///< When this process was notified.
@@ -61,20 +62,19 @@
     /// Records that \a version is the wanted version of \a model.
     void setWantedVersion(std::string_view model, int version);
 
-    const std::map<std::string, wanted_version, std::less<>>& wantedVersions() const
-    {
-        return m_wantedVersions;
-    }
-
 private:
     base::duration oldWeightsLimit() const;
+    /// Returns the newest version of \a model that has been wanted for longer than old weights may be used;
+    /// 0 if there is none.
+    int overdueVersion(std::string_view model) const;
     /// Returns the version that \a request must run on; empty if all versions in use may serve it.
     std::string requiredVersion(const placement_request& request);
 
     const base::clock& m_clock;
     target_registry& m_targets;
     options m_options;
-    std::map<std::string, wanted_version, std::less<>> m_wantedVersions;
+    /// By model, oldest first: all whose time limit has not passed, and the last one before them.
+    std::map<std::string, std::vector<wanted_version>, std::less<>> m_wantedVersions;
 };
 
 } // namespace marigold::relay
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -181,6 +181,22 @@
     CHECK(late.choose().outcome == placement_outcome::NoTarget);
 }
 
+TEST_CASE("the time limit of named weights goes on when newer ones are named before it ends")
+{
+    // Guards against a request that starts on weights for whose successor the time limit has passed.
+    fixture f(3);
+    f.chooser.setWantedVersion(model, 2);
+    f.targets.observeVersion(f.record(0), model, 2);
+    f.clock.advance(std::chrono::milliseconds(2000));
+    f.chooser.setWantedVersion(model, 3);
+    f.clock.advance(std::chrono::milliseconds(900));
+    CHECK(f.chosen(100).size() > 1);
+    f.clock.advance(std::chrono::milliseconds(200));
+    CHECK(f.chosen(100) == std::set<std::string> { "t0" });
+    f.clock.advance(std::chrono::milliseconds(2000));
+    CHECK(f.choose().outcome == placement_outcome::NoTarget);
+}
+
 TEST_CASE("targets with weights newer than the wanted version are used")
 {
     // Guards against a process that is partitioned from the store and rejects all targets after the next
