Rename the struct link of the transfer window test

Cause: on arm64 the struct clashes with link() of unistd.h, so relay_test doesn't compile. Change: the struct is store_link.

--- a/tests/libs/relay/transfer_window_test.cpp
+++ b/tests/libs/relay/transfer_window_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// A store whose link serves one transfer at a time.
-struct link {
+struct store_link {
     base::duration nominal = std::chrono::milliseconds(35);
     double slowness = 1;
     base::time_point freeAt {};
@@ -30,8 +30,8 @@
 };
 
 /// Offers one transfer per \a interval for \a time; returns the longest delay in the second half.
-base::duration longestDelay(
-    transfer_window& window, link& store, base::time_point& now, base::duration interval, base::duration time)
+base::duration longestDelay(transfer_window& window, store_link& store, base::time_point& now,
+    base::duration interval, base::duration time)
 {
     base::duration longest { 0 };
     const base::time_point half = now + time / 2;
@@ -59,7 +59,7 @@
     // Guards against fetches that queue for seconds at a slow store: after the links of the stores were four
     // times slower for five seconds, the worth (score of the users) fell to 0.3 for six seconds.
     transfer_window window;
-    link store;
+    store_link store;
     base::time_point now { std::chrono::seconds(1) };
     CHECK(longestDelay(window, store, now, std::chrono::milliseconds(40), std::chrono::seconds(4))
         < std::chrono::milliseconds(100));
