--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -14,8 +14,10 @@
       "attempts, target (of the last send), age_ms, placed_ms (arrival to last send), expected_ms (to the "
       "first token, at that send), first_ms, pause_ms (longest between two chunks of the answer), "
       "prompt_tokens, shared_tokens, kept_tokens, scope, part, parts (all shared ones), "
-      "answer (none, begun or event: what was received of the last one), framing (of that answer: "
-      "none, length, chunked, until_close), config, reason.",
+      "answer (none, begun or event: what was received of the last one), answer_status (of that answer), "
+      "caller_status (of the head that the caller got while the answer was forwarded, 0 if none), framing "
+      "(of "
+      "the last answer: none, length, chunked, until_close), config, reason.",
     .action = "" };
 
 inline constexpr base::event_definition attemptFailed { .id = "MB-2002",
@@ -151,9 +153,18 @@
       "process was the first to claim the trial; fields: part, number (of the trial), claimed.",
     .action = "" };
 
+inline constexpr base::event_definition strayBytes { .id = "MB-2021",
+    .level = base::log_level::Info,
+    .name = "relay_stray_bytes",
+    .meaning = "A target sent bytes that belong to no waiting request, such as a second answer to an earlier "
+               "one; they "
+               "were discarded and their connection is not used again; fields: target (address), place "
+               "(before_answer, after_answer or idle).",
+    .action = "If a target is named again and again, it answers requests twice; replace it." };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
     processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded, partBlocked,
-    partReleased, partTried };
+    partReleased, partTried, strayBytes };
 
 } // namespace marigold::relay::events
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -35,7 +35,12 @@
     , m_log(log)
     , m_ports(ports)
     , m_options(std::move(opts))
-    , m_pool(loop, time, {})
+    , m_pool(loop, time,
+          { .onStrayBytes =
+                  [this](const net::endpoint& target, stray_place place) {
+                      m_log.write(events::strayBytes,
+                          { { "target", target.text() }, { "place", std::string(nameOf(place)) } });
+                  } })
     , m_targets(time,
           { .process = m_options.process,
               .failureDomain = m_options.failureDomain,
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -415,7 +415,9 @@
             { "kept_tokens", std::to_string(m_context.cachedTokens) }, { "scope", m_scope },
             { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
             { "parts", fmt::format("{}", fmt::join(m_sharedParts, ",")) },
-            { "answer", std::string(answerProgress()) }, { "framing", std::string(answerFraming()) },
+            { "answer", std::string(answerProgress()) },
+            { "answer_status", std::to_string(m_answerBegun ? m_answerHead.status : 0) },
+            { "caller_status", std::to_string(m_callerStatus) }, { "framing", std::string(answerFraming()) },
             { "config", m_config ? std::to_string(m_config->version()) : "-" },
             { "reason", std::string(reason) } });
     m_onFinished(*this);
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -73,6 +73,7 @@
     m_answer = answer_state::Forwarding;
     if (!m_callerHasHead) {
         m_callerHasHead = true;
+        m_callerStatus = m_answerHead.status;
         m_caller->beginAnswer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead));
     }
 }
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <netinet/in.h>
@@ -55,6 +56,12 @@
 
 } // namespace
 
+std::string_view nameOf(stray_place place)
+{
+    constexpr std::array<std::string_view, 3> names { "before_answer", "after_answer", "idle" };
+    return names[static_cast<std::size_t>(place)];
+}
+
 target_connection::target_connection(net::event_loop& loop, options opts)
     : m_loop(loop)
     , m_options(std::move(opts))
@@ -167,6 +174,14 @@
     m_ownAnswerBegun = !m_skippingAnswer;
     if (m_ownAnswerBegun)
         stopPreambleTimer();
+    else
+        reportStrayBytes(stray_place::BeforeAnswer);
+}
+
+void target_connection::reportStrayBytes(stray_place place) const
+{
+    if (m_options.onStrayBytes)
+        m_options.onStrayBytes(*this, place);
 }
 
 bool target_connection::preambleWithinLimits(std::size_t newBytes)
@@ -189,8 +204,10 @@
         const std::size_t size = evbuffer_get_contiguous_space(input);
         if (size == 0)
             return;
-        if (!m_handler)
-            return close(); // These bytes do not belong to any request.
+        if (!m_handler) {
+            reportStrayBytes(stray_place::Idle);
+            return close();
+        }
         const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ssize_t>(size)));
         const auto [used, progress] = m_parser.feed({ bytes, size });
         if (!m_events)
@@ -212,8 +229,10 @@
 
 void target_connection::answerCompleted()
 {
-    const bool clean = evbuffer_get_length(bufferevent_get_input(m_events)) == 0
-        && evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
+    const bool hasSurplus = evbuffer_get_length(bufferevent_get_input(m_events)) > 0;
+    const bool clean = !hasSurplus && evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
+    if (hasSurplus)
+        reportStrayBytes(stray_place::AfterAnswer);
     answer_handler* handler = std::exchange(m_handler, nullptr);
     if (m_reusable && clean && !m_foreignAnswerSeen) {
         m_idleSince = base::system_clock().now();
--- a/src/libs/relay/target_connection.h
+++ b/src/libs/relay/target_connection.h
@@ -32,6 +32,16 @@
     virtual void answerFails(const base::error& failure) = 0;
 };
 
+/// Where bytes were received that are not the answer to a waiting request.
+enum class stray_place {
+    BeforeAnswer, ///< An answer to another request, in place of the awaited one.
+    AfterAnswer, ///< Together with the end of a complete answer.
+    Idle,
+};
+
+/// Returns the snake-case name of \a place.
+std::string_view nameOf(stray_place place);
+
 /// One connection to a target. It carries one request at a time and may be reused.
 class target_connection {
 public:
@@ -51,6 +61,8 @@
         std::function<void(target_connection&)> onClosed = {};
         /// Called when an answer is complete and the connection can carry another request.
         std::function<void(target_connection&)> onIdle = {};
+        /// Called when bytes are discarded that belong to no waiting request.
+        std::function<void(const target_connection&, stray_place)> onStrayBytes = {};
     };
 
     target_connection(net::event_loop& loop, options opts);
@@ -86,6 +98,7 @@
     void answerCompleted();
     void fail(std::string message, base::error_reason reason = base::error_reason::Unavailable);
     void close();
+    void reportStrayBytes(stray_place place) const;
     bool preambleWithinLimits(std::size_t newBytes);
     void stopPreambleTimer() { m_loop.cancel(std::exchange(m_preambleTimer, 0)); }
 
--- a/src/libs/relay/target_pool.cpp
+++ b/src/libs/relay/target_pool.cpp
@@ -7,7 +7,7 @@
 target_pool::target_pool(net::event_loop& loop, const base::clock& time, options opts)
     : m_loop(loop)
     , m_clock(time)
-    , m_options(opts)
+    , m_options(std::move(opts))
 {
 }
 
@@ -34,7 +34,12 @@
     auto owned = std::make_unique<target_connection>(m_loop,
         target_connection::options { .to = to,
             .onClosed = [this](target_connection& connection) { connectionClosed(connection); },
-            .onIdle = [this](target_connection& connection) { connectionIdle(connection); } });
+            .onIdle = [this](target_connection& connection) { connectionIdle(connection); },
+            .onStrayBytes =
+                [this](const target_connection& connection, stray_place place) {
+                    if (m_options.onStrayBytes)
+                        m_options.onStrayBytes(connection.to(), place);
+                } });
     target_connection* connection = owned.get();
     m_connections.emplace(connection, std::move(owned));
     ++record.open;
--- a/src/libs/relay/target_pool.h
+++ b/src/libs/relay/target_pool.h
@@ -22,6 +22,8 @@
         /// since a target may close an idle connection while the request is in transit.
         base::duration idleLimitUnrepeatable = std::chrono::milliseconds(1500);
         std::size_t maxIdlePerTarget = 16;
+        /// Called when a target has sent bytes that belong to no waiting request.
+        std::function<void(const net::endpoint&, stray_place)> onStrayBytes = {};
     };
 
     target_pool(net::event_loop& loop, const base::clock& time, options opts);
