Discard what does not continue a begun stream, and send one head for each request

Cause: when a begun stream went on at another target, the head of that target's answer was judged as if the caller had nothing yet: an error without a further attempt was collected and then written with a head of its own into the chunked stream, or as events if it was large; a 204, a redirection or a success of another kind ended the stream as complete. caller_connection accepted that, since it knew only that a request was being handled.

Change: judgeBegin() decides in one place, from what the caller has, what the head of an answer is used for: after a head only an authentic success of the same status that may be a stream of events is forwarded; all else is a failed attempt, which is tried again or aborted. caller_connection has a state for a begun answer, in which a second head can't be written: answer() aborts.

--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -85,7 +85,8 @@
 
 void caller_connection::parse()
 {
-    if (m_state == state::Handling || m_state == state::Closing || m_state == state::Closed)
+    if (m_state == state::Handling || m_state == state::Answering || m_state == state::Closing
+        || m_state == state::Closed)
         return;
     evbuffer* input = bufferevent_get_input(m_events);
     if (m_state == state::Lingering) {
@@ -142,9 +143,12 @@
 
 void caller_connection::answer(int status, net::http_headers headers, std::string_view body)
 {
+    if (m_state == state::Answering)
+        return abort();
     if (m_state != state::Handling)
         return;
-    headers.add("Content-Length", std::to_string(body.size()));
+    if (http_status::mayHaveBody(status))
+        headers.add("Content-Length", std::to_string(body.size()));
     if (m_closeAfterAnswer || !m_keepAlive)
         headers.add("Connection", "close");
     std::string text = answerHeadText(status, headers);
@@ -163,12 +167,13 @@
         m_endsWithConnection = true;
     if (m_closeAfterAnswer || !m_keepAlive || m_endsWithConnection)
         headers.add("Connection", "close");
+    m_state = state::Answering;
     write(answerHeadText(status, headers));
 }
 
 void caller_connection::writeChunk(std::string_view chunk)
 {
-    if (m_state != state::Handling || chunk.empty())
+    if (m_state != state::Answering || chunk.empty())
         return;
     if (m_endsWithConnection)
         return write(chunk);
@@ -180,7 +185,7 @@
 
 void caller_connection::endAnswer()
 {
-    if (m_state != state::Handling)
+    if (m_state != state::Answering)
         return;
     if (!m_endsWithConnection)
         write("0\r\n\r\n");
@@ -258,7 +263,7 @@
 void caller_connection::freeEvents()
 {
     // An orderly close would complete an answer that has no other end.
-    if (m_endsWithConnection && (m_state == state::Handling || pendingBytes() > 0)) {
+    if (m_endsWithConnection && (m_state == state::Answering || pendingBytes() > 0)) {
         const linger none { .l_onoff = 1, .l_linger = 0 };
         setsockopt(bufferevent_getfd(m_events), SOL_SOCKET, SO_LINGER, &none, sizeof(none));
     }
--- a/src/libs/relay/caller_connection.h
+++ b/src/libs/relay/caller_connection.h
@@ -52,11 +52,12 @@
     /// Sets the handler for events of the caller while a request is answered; may be null.
     void setHandler(caller_request_handler* handler) { m_handler = handler; }
 
-    /// Sends a complete answer and ends the request.
+    /// Sends a complete answer and ends the request. If an answer has begun, its caller would read a second
+    /// head as content, so the answer is aborted instead.
     void answer(int status, net::http_headers headers, std::string_view body);
 
-    /// Begins an answer with chunked transfer encoding, or for a caller that does not know it, an answer that
-    /// ends with its connection.
+    /// Begins an answer that has a body, with chunked transfer encoding, or for a caller that does not know
+    /// it, an answer that ends with its connection.
     void beginAnswer(int status, net::http_headers headers);
     void writeChunk(std::string_view chunk);
 
@@ -84,7 +85,8 @@
     enum class state {
         Idle, ///< Waits for the first byte of a request.
         Reading,
-        Handling, ///< A complete request was read; the answer is not complete.
+        Handling, ///< A complete request was read; no byte of its answer has been sent.
+        Answering, ///< The head of the answer has been sent; the answer is not complete.
         Closing, ///< The last bytes are being written.
         Lingering, ///< The answer is written; the rest of a rejected request is read and discarded.
         Closed,
--- a/src/libs/relay/http_status.h
+++ b/src/libs/relay/http_status.h
@@ -4,7 +4,9 @@
 namespace marigold::relay::http_status {
 
 inline constexpr int ok = 200;
+inline constexpr int noContent = 204;
 inline constexpr int multipleChoices = 300; ///< First code above the success codes.
+inline constexpr int notModified = 304;
 inline constexpr int badRequest = 400;
 inline constexpr int unauthorized = 401;
 inline constexpr int notFound = 404;
@@ -17,4 +19,10 @@
 inline constexpr int serviceUnavailable = 503;
 inline constexpr int gatewayTimeout = 504;
 
+/// Returns whether a body follows the head of an answer with \a status (RFC 9110, section 6.4.1).
+constexpr bool mayHaveBody(int status)
+{
+    return status >= ok && status != noContent && status != notModified;
+}
+
 } // namespace marigold::relay::http_status
--- a/src/libs/relay/message_parser.cpp
+++ b/src/libs/relay/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "message_parser.h"
 
+#include "http_status.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -24,13 +26,6 @@
     return std::ranges::none_of(value, [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
 }
 
-bool mayHaveBody(int status)
-{
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return status >= 200 && status != noContent && status != notModified;
-}
-
 } // namespace
 
 std::string_view nameOf(body_framing framing)
@@ -156,7 +151,7 @@
     else if (parser->content_length != ~std::uint64_t { 0 }) {
         head.framing = body_framing::Length;
         head.contentLength = parser->content_length;
-    } else if (!isRequest && mayHaveBody(head.status))
+    } else if (!isRequest && http_status::mayHaveBody(head.status))
         head.framing = body_framing::UntilClose;
     self.headComplete = true;
     self.calls.head(std::move(head));
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -374,7 +374,7 @@
 
 void relay_session::sendOwnAnswer(int status, base::duration retryAfter, std::string_view reason)
 {
-    if (m_callerHasHead) {
+    if (m_callerStatus) {
         m_caller->abort();
         return finish(relay_outcome::Broken, 0, reason);
     }
@@ -417,7 +417,8 @@
             { "parts", fmt::format("{}", fmt::join(m_sharedParts, ",")) },
             { "answer", std::string(answerProgress()) },
             { "answer_status", std::to_string(m_answerBegun ? m_answerHead.status : 0) },
-            { "caller_status", std::to_string(m_callerStatus) }, { "framing", std::string(answerFraming()) },
+            { "caller_status", std::to_string(m_callerStatus.value_or(0)) },
+            { "framing", std::string(answerFraming()) },
             { "config", m_config ? std::to_string(m_config->version()) : "-" },
             { "reason", std::string(reason) } });
     m_onFinished(*this);
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -150,8 +150,7 @@
     bool m_isEventStream = false; ///< The last answer is a stream of server-sent events.
     bool m_isCheckingEnd = false; ///< The last answer has ended; whether it is complete is not known yet.
     bool m_answerBegun = false; ///< The head of the last answer was received.
-    bool m_callerHasHead = false;
-    int m_callerStatus = 0; ///< Of the head that the caller has.
+    std::optional<int> m_callerStatus; ///< Of the head that the caller has.
     bool m_ended = false;
     std::optional<base::duration> m_firstByteAfter;
     base::time_point m_lastChunkAt {};
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -1,3 +1,4 @@
+#include "answer_begin.h"
 #include "answer_end.h"
 #include "events.h"
 #include "http_status.h"
@@ -49,30 +50,33 @@
                 m_services.targets.newestVersion(m_service->name, m_request.model));
         return true;
     }
-    const bool success = head.status >= http_status::ok && head.status < http_status::multipleChoices;
-    if (answer.encoded || (success && !answer.authentic)) {
+    const answer_use use = judgeBegin({ .status = head.status,
+        .authentic = answer.authentic,
+        .encoded = answer.encoded,
+        .mayBeEventStream = mayBeEventStream(head),
+        .isStreamRoute = m_route->kind == request_kind::Stream,
+        .mayRetry = mayRetry(base::verdict::Ran),
+        .callerStatus = m_callerStatus });
+    m_isEventStream = use == answer_use::Forward && mayBeEventStream(head);
+    switch (use) {
+    case answer_use::Discard:
         m_answer = answer_state::Failed;
         scheduleDiscardEnd(discardTimeout);
-        return true;
-    }
-    if (head.status >= http_status::serverError && mayRetry(base::verdict::Ran)) {
-        m_answer = answer_state::Failed;
-        scheduleDiscardEnd(discardTimeout);
-        return true;
-    }
-    const bool stream = m_route->kind == request_kind::Stream && head.status < http_status::badRequest;
-    m_isEventStream = stream && mayBeEventStream(head);
-    m_answer = answer_state::Collecting;
-    if (stream)
+        break;
+    case answer_use::Collect:
+        m_answer = answer_state::Collecting;
+        break;
+    case answer_use::Forward:
         beginForwarding();
+        break;
+    }
     return true;
 }
 
 void relay_session::beginForwarding()
 {
     m_answer = answer_state::Forwarding;
-    if (!m_callerHasHead) {
-        m_callerHasHead = true;
+    if (!m_callerStatus) {
         m_callerStatus = m_answerHead.status;
         m_caller->beginAnswer(m_answerHead.status, m_services.dialect.answerFields(m_answerHead));
     }
@@ -172,7 +176,7 @@
 
 void relay_session::checkUnresponsive()
 {
-    if (!m_connection || m_callerHasHead || !m_services.targets.isUnresponsive(*m_target)
+    if (!m_connection || m_callerStatus || !m_services.targets.isUnresponsive(*m_target)
         || !mayRetry(base::verdict::MayHaveRun))
         return;
     m_connection->cancel();
@@ -312,7 +316,7 @@
         return true;
     if (!mayRepeat() || m_possibleRuns >= m_route->maxAttempts)
         return false;
-    return !m_callerHasHead || (m_route->resumable && !m_events.lastId().empty());
+    return !m_callerStatus || (m_route->resumable && !m_events.lastId().empty());
 }
 
 } // namespace marigold::relay
