Keep a second answer out of one that ends with its connection

Cause: only the close of the connection ends such an answer, so whatever the target writes until then was its body.

Evidence: 'a second answer behind one without a length' failed in four of five rows (the stream complete with both answers, the body with status 200), and the resumable stream was not sent on.

Change: the line of a stream of events that begins a status line breaks the stream off before it, so that it is resumed or aborted; a collected body that contains the head of an answer with an attempt id is no answer. A body that quotes a head without an id is passed on as before.

--- a/src/libs/relay/event_scanner.cpp
+++ b/src/libs/relay/event_scanner.cpp
@@ -4,11 +4,27 @@
 
 namespace marigold::relay {
 
+namespace {
+
+constexpr std::string_view statusLineStart = "HTTP/1.";
+
+} // namespace
+
 std::size_t event_boundary::feed(std::string_view chunk)
 {
     std::size_t end = 0;
+    std::size_t lineStart = 0;
     for (std::size_t i = 0; i < chunk.size(); ++i) {
         const char byte = chunk[i];
+        if (m_atLineStart)
+            lineStart = i;
+        const bool mayBeStatusLine = m_atLineStart || m_statusLineBytes > 0;
+        m_statusLineBytes
+            = mayBeStatusLine && byte == statusLineStart[m_statusLineBytes] ? m_statusLineBytes + 1 : 0;
+        if (m_statusLineBytes == statusLineStart.size()) {
+            m_statusLine = lineStart;
+            return end;
+        }
         const bool endsSameLine = byte == '\n' && m_afterCarriageReturn;
         m_afterCarriageReturn = byte == '\r';
         if (byte == '\r' || byte == '\n') {
--- a/src/libs/relay/event_scanner.h
+++ b/src/libs/relay/event_scanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -16,6 +17,10 @@
     /// followed by a new event or the end of the stream; 0 if there is none.
     std::size_t feed(std::string_view chunk);
 
+    /// Returns where in the chunk that was added last the line begins that is the status line of another
+    /// answer, so that the stream ends before it. Its first bytes may be in earlier chunks.
+    std::optional<std::size_t> statusLine() const { return m_statusLine; }
+
     /// Returns true if the last event or the last line is incomplete.
     bool insideEvent() const { return m_hasField || !m_atLineStart; }
 
@@ -28,6 +33,8 @@
     bool m_hasEvent = false;
     bool m_hasField = false; ///< A line of the current event that is no comment has begun.
     bool m_atLineStart = true;
+    std::size_t m_statusLineBytes = 0; ///< Of the current line that begin a status line; 0 if others do not.
+    std::optional<std::size_t> m_statusLine;
     bool m_afterCarriageReturn = false; ///< A line feed that follows belongs to the same line end.
 };
 
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -76,7 +76,7 @@
     void releaseTarget();
     void attemptFailed(const base::error& failure);
     void scheduleDiscardEnd(base::duration delay);
-    void endlessEvent();
+    void breakOffStream(std::string_view message);
     bool mayRetry(base::verdict verdict) const;
     std::vector<std::string> scopedParts() const;
     bool refuseBlocked();
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -27,6 +27,26 @@
 /// Limit of one event of a stream that can be resumed: its bytes are kept until the event is complete.
 constexpr std::size_t maxEventBytes = 1 << 20;
 
+/// Limit of a head that is searched for in a body, which bounds the cost of bodies that begin many.
+constexpr std::size_t maxEmbeddedHeadBytes = 8 << 10;
+
+/// Returns whether \a body contains the head of another answer to a request. A target that answers twice
+/// writes it there if only the end of the connection ends the body.
+bool containsAnswer(std::string_view body, const wire_dialect& dialect)
+{
+    constexpr std::string_view statusLineStart = "HTTP/1.";
+    bool found = false;
+    for (std::size_t at = body.find(statusLineStart); at != std::string_view::npos && !found;
+         at = body.find(statusLineStart, at + 1)) {
+        message_parser parser(message_parser::kind::Answer,
+            { .head = [&](message_head&& head) { found = !dialect.readAnswer(head).attemptId.empty(); },
+                .body = [](std::string_view) {} },
+            maxEmbeddedHeadBytes);
+        parser.feed(body.substr(at));
+    }
+    return found;
+}
+
 } // namespace
 
 bool relay_session::answerBegins(const message_head& head)
@@ -86,6 +106,9 @@
 {
     m_services.targets.bytesReceived(*m_target);
     m_boundary.feed(chunk);
+    const auto secondAnswer = m_isEventStream ? m_boundary.statusLine() : std::nullopt;
+    if (secondAnswer)
+        chunk = chunk.substr(0, *secondAnswer);
     if (m_firstTokenReceived)
         m_longestPause = std::max(m_longestPause, now() - m_lastChunkAt);
     m_lastChunkAt = now();
@@ -120,9 +143,11 @@
         if (m_route->resumable) {
             m_caller->writeChunk(m_events.feed(chunk));
             if (m_events.partialBytes() > maxEventBytes)
-                return endlessEvent();
+                return breakOffStream("event without end");
         } else
             m_caller->writeChunk(chunk);
+        if (secondAnswer)
+            return breakOffStream("second answer inside the stream");
         if (m_caller && m_connection && m_caller->pendingBytes() > caller_connection::highWaterBytes)
             m_connection->setPaused(true);
         return;
@@ -139,18 +164,18 @@
     });
 }
 
-void relay_session::endlessEvent()
+void relay_session::breakOffStream(std::string_view message)
 {
     m_events.dropPartial();
     m_answer = answer_state::Failed;
-    // The connection is parsing the bytes of this event and cannot be closed before it returns.
+    // The connection is parsing the bytes of this chunk and cannot be closed before it returns.
     m_services.loop.cancel(m_discardTimer);
-    m_discardTimer = m_services.loop.runAfter(base::duration::zero(), [this] {
+    m_discardTimer = m_services.loop.runAfter(base::duration::zero(), [this, message = std::string(message)] {
         m_discardTimer = 0;
         m_connection->cancel();
         answerFails({ .verdict = base::verdict::MayHaveRun,
             .reason = base::error_reason::Unavailable,
-            .message = "event without end" });
+            .message = message });
     });
 }
 
@@ -201,6 +226,11 @@
             .reason = base::error_reason::Unavailable,
             .message = fmt::format("failed with {}", m_answerHead.status) });
     }
+    if (m_answer == answer_state::Collecting && m_answerHead.framing == body_framing::UntilClose
+        && containsAnswer(m_collected, m_services.dialect))
+        return answerFails({ .verdict = base::verdict::MayHaveRun,
+            .reason = base::error_reason::Unavailable,
+            .message = "second answer inside the body" });
     const answer_end end = judgeEnd({ .status = m_answerHead.status,
         .framing = m_answerHead.framing,
         .isCutJson = m_answer == answer_state::Collecting && m_answerHead.framing == body_framing::UntilClose
