Reject odd entries of the store before they are copied or converted

Cause: nlohmann/json parses text without recursion, but copies values recursively. Numbers were converted without a range: a figure of 1e30 is undefined behaviour,  was read as 2, and -1 as the largest sequence number.

json_document parses documents of other writers. It limits their nesting before they are parsed and converts numbers with a range, in one place.

--- a/src/libs/relay/quarantine_record.cpp
+++ b/src/libs/relay/quarantine_record.cpp
@@ -1,8 +1,8 @@
 #include "quarantine_record.h"
 
-#include <functional>
+#include "json_document.h"
 
-#include <nlohmann/json.hpp>
+#include <functional>
 
 namespace marigold::relay {
 
@@ -14,6 +14,7 @@
 constexpr std::size_t maxParts = 64;
 constexpr std::size_t maxRecords = 256;
 constexpr std::size_t maxNameBytes = 512;
+constexpr int maxCount = 1'000'000;
 
 struct encoder {
     json operator()(const target_end& end) const
@@ -59,7 +60,7 @@
     if (value.size() > maxParts)
         throw std::length_error("too many parts");
     std::vector<std::string> names;
-    for (const json& item : value)
+    for (const json& item : arrayOf(value))
         names.push_back(nameOf(item));
     return names;
 }
@@ -74,10 +75,11 @@
     if (value.contains("blocked"))
         return blocked_part { .part = nameOf(value.at("blocked")),
             .with = namesOf(value.at("with")),
-            .ends = value.at("ends"),
+            .ends = integerOf(value.at("ends"), 0, maxCount),
             .targets = namesOf(value.at("targets")) };
     if (value.contains("tried"))
-        return trial_start { .part = nameOf(value.at("tried")), .number = value.at("number") };
+        return trial_start { .part = nameOf(value.at("tried")),
+            .number = integerOf(value.at("number"), 0, maxCount) };
     return sound_part { .part = nameOf(value.at("answered")), .refutes = value.at("refutes") };
 }
 
@@ -86,8 +88,10 @@
     quarantine_batch batch { .process = nameOf(value.at("process")) };
     if (value.at("records").size() > maxRecords)
         throw std::length_error("too many records");
-    for (const json& item : value.at("records"))
-        batch.records.push_back({ .sequence = item.at("sequence"), .record = recordOf(item) });
+    for (const json& item : arrayOf(value.at("records")))
+        batch.records.push_back({ .sequence
+            = integerOf(item.at("sequence"), std::uint64_t { 0 }, std::uint64_t { maxExactInteger }),
+            .record = recordOf(item) });
     return batch;
 }
 
@@ -117,20 +121,20 @@
 
 base::result<quarantine_batch> decodeQuarantineText(std::string_view text)
 {
-    return decoded<quarantine_batch>([text] { return batchOf(json::parse(text)); });
+    return decoded<quarantine_batch>([text] { return batchOf(parseDocument(text)); });
 }
 
 base::result<quarantine_batch> decodeQuarantineDatagram(std::string_view bytes)
 {
     if (!bytes.starts_with(quarantineDigestKind))
         return base::notRun(base::error_reason::InvalidRequest, "not a quarantine digest");
-    return decoded<quarantine_batch>([bytes] { return batchOf(json::from_msgpack(bytes.substr(1))); });
+    return decoded<quarantine_batch>([bytes] { return batchOf(parseMessagePack(bytes.substr(1))); });
 }
 
 base::result<blocked_part> decodeOperatorBlock(std::string_view text)
 {
     return decoded<blocked_part>([text] {
-        const std::string part = nameOf(json::parse(text).at("part"));
+        const std::string part = nameOf(parseDocument(text).at("part"));
         return blocked_part { .part = part, .with = { part } };
     });
 }
