Reject nested datagrams and figures out of range from other processes

A datagram of nested MessagePack arrays ended the relay: nlohmann/json reads MessagePack recursively, a datagram has room for 65,000 levels, and the port is open to any sender. Figures of digests were converted without a range, so that a load of requests counted as 2.

The digests are read with the functions for documents of other writers: a pass without values ends at the deepest nesting that is accepted, before the document is built.

--- a/src/libs/relay/context_digest.cpp
+++ b/src/libs/relay/context_digest.cpp
@@ -1,8 +1,9 @@
 #include "context_digest.h"
 
-#include <algorithm>
+#include "json_document.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <limits>
 
 namespace marigold::relay {
 
@@ -14,6 +15,13 @@
 constexpr int notAList = -1; ///< Encoded instead of the chunk number of a list.
 constexpr std::int64_t noClock = 0; ///< Encoded instead of the time if the store did not tell it.
 constexpr int dropped = -1; ///< Encoded instead of the tokens of a removed part.
+constexpr int maxTokens = 1'000'000'000;
+constexpr int maxChunks = 1'000'000;
+
+std::uint64_t counterOf(const json& value)
+{
+    return integerOf(value, std::uint64_t { 0 }, std::numeric_limits<std::uint64_t>::max());
+}
 
 } // namespace
 
@@ -78,34 +86,34 @@
     if (!bytes.starts_with(contextDigestKind))
         return base::notRun(base::error_reason::InvalidRequest, "not a context digest");
     try {
-        const json value = json::from_msgpack(bytes.substr(1));
+        const json value = parseMessagePack(bytes.substr(1));
         constexpr std::size_t scopesAt = 7;
         constexpr std::size_t fieldsAt = 8;
         constexpr std::size_t clockAt = 9;
         context_digest digest { .process = value.at(0),
             .store = value.at(1),
-            .since = value.at(2),
+            .since = counterOf(value.at(2)),
 
-            .batch = { .epoch = value.at(5), .next = value.at(6) } };
-        if (const int chunk = value.at(3); chunk != notAList) {
+            .batch = { .epoch = counterOf(value.at(5)), .next = counterOf(value.at(6)) } };
+        if (const int chunk = integerOf(value.at(3), notAList, maxChunks); chunk != notAList) {
             digest.chunkNumber = chunk;
             digest.isLastChunk = value.at(4).get<bool>();
         }
         // Relays of an earlier build do not send the time.
         if (value.size() > clockAt && value.at(clockAt) != noClock)
-            digest.batch.clockMs = value.at(clockAt).get<std::int64_t>();
+            digest.batch.clockMs = integerOf(value.at(clockAt), std::int64_t { 0 }, maxExactInteger);
         const json& scopes = value.at(scopesAt);
         const json& fields = value.at(fieldsAt);
         for (std::size_t i = 0; i + fieldsPerEvent <= fields.size(); i += fieldsPerEvent) {
-            const int tokens = fields.at(i + 1);
+            const int tokens = integerOf(fields.at(i + 1), dropped, maxTokens);
             digest.batch.events.push_back({ .stored = tokens != dropped,
-                .scope = scopes.at(fields.at(i + 2).get<std::size_t>()),
+                .scope = scopes.at(integerOf(fields.at(i + 2), std::size_t { 0 }, scopes.size())),
                 .partId = fields.at(i + 3),
                 .tokens = std::max(tokens, 0),
-                .sequence = fields.at(i) });
+                .sequence = counterOf(fields.at(i)) });
         }
         return digest;
-    } catch (const json::exception& problem) {
+    } catch (const std::exception& problem) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, problem.what());
     }
 }
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -1,6 +1,8 @@
 #include "load_digest.h"
 
-#include <nlohmann/json.hpp>
+#include "json_document.h"
+
+#include <limits>
 
 namespace marigold::relay {
 
@@ -10,6 +12,25 @@
 
 constexpr std::size_t fieldsPerEntry = 5;
 
+/// Limits of one figure; the figures of all processes are added up.
+constexpr int maxRequests = 1'000'000;
+constexpr std::int64_t maxTokens = std::int64_t { 1 } << 40;
+
+std::uint64_t hashOf(const json& value)
+{
+    return integerOf(value, std::uint64_t { 0 }, std::numeric_limits<std::uint64_t>::max());
+}
+
+int requestsOf(const json& value)
+{
+    return integerOf(value, -maxRequests, maxRequests);
+}
+
+std::int64_t tokensOf(const json& value)
+{
+    return integerOf(value, -maxTokens, maxTokens);
+}
+
 } // namespace
 
 target_load& target_load::operator+=(const target_load& other)
@@ -65,29 +86,30 @@
     if (!bytes.starts_with(loadDigestKind))
         return base::notRun(base::error_reason::InvalidRequest, "not a load digest");
     try {
-        const json value = json::from_msgpack(bytes.substr(1));
-        load_digest digest { .process = value.at(0), .sequence = value.at(1) };
+        const json value = parseMessagePack(bytes.substr(1));
+        load_digest digest { .process = value.at(0), .sequence = hashOf(value.at(1)) };
         const json& numbers = value.at(2);
         for (std::size_t i = 0; i + fieldsPerEntry <= numbers.size(); i += fieldsPerEntry)
-            digest.entries.push_back({ .target = numbers.at(i),
-                .load = { .requests = numbers.at(i + 1),
-                    .prefillTokens = numbers.at(i + 2),
-                    .tokens = numbers.at(i + 3),
-                    .loading = numbers.at(i + 4) } });
+            digest.entries.push_back({ .target = hashOf(numbers.at(i)),
+                .load = { .requests = requestsOf(numbers.at(i + 1)),
+                    .prefillTokens = tokensOf(numbers.at(i + 2)),
+                    .tokens = tokensOf(numbers.at(i + 3)),
+                    .loading = requestsOf(numbers.at(i + 4)) } });
         // Relays of an earlier build send only the loads.
         constexpr std::size_t versionsAt = 3;
         const json versions = value.size() > versionsAt ? value.at(versionsAt) : json::array();
         for (std::size_t i = 0; i + 1 < versions.size(); i += 2)
-            digest.oldestInUse[versions.at(i)] = versions.at(i + 1);
+            digest.oldestInUse[hashOf(versions.at(i))] = integerOf(versions.at(i + 1), 0, maxWeightVersion);
         constexpr std::size_t partialAt = 4;
         digest.isPartial = value.size() > partialAt && value.at(partialAt).get<bool>();
         constexpr std::size_t fetchesAt = 5;
         const json fetches = value.size() > fetchesAt ? value.at(fetchesAt) : json::array();
         for (std::size_t i = 0; i + 2 < fetches.size(); i += 3)
-            digest.fetches.push_back(
-                { .store = fetches.at(i), .inTime = fetches.at(i + 1), .late = fetches.at(i + 2) });
+            digest.fetches.push_back({ .store = hashOf(fetches.at(i)),
+                .inTime = integerOf(fetches.at(i + 1), 0, maxRequests),
+                .late = integerOf(fetches.at(i + 2), 0, maxRequests) });
         return digest;
-    } catch (const json::exception& error) {
+    } catch (const std::exception& error) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, error.what());
     }
 }
