Send nothing to a model server whose entry names no weights of its service

If an entry of a model server lacked `Models`, prompts went to it without a cache scope and without an expected version, so that a team that is isolated shared cached context with others.

Cause: the field is optional, since servers of plain services have no models, and the registry used each target of the service.

A service is one of model servers if the configuration gives it an engine. A target of such a service is out of service while its registration states the weights of none of the engine's models; targets of other services need none. This is decided again with each configuration, since the registration may come first.

The engine in the fixture of placement_test names its model, as it does in a configuration.

--- a/src/libs/relay/relay_config.cpp
+++ b/src/libs/relay/relay_config.cpp
@@ -46,6 +46,18 @@
     return found == m_teamsByKey.end() ? nullptr : &found->second;
 }
 
+bool relay_config::lacksWeights(const target_registration& target) const
+{
+    const service_info* service = findService(target.service);
+    if (!service || !service->engine)
+        return false;
+    const std::vector<std::string>& models = service->engine->models;
+    return models.empty() ? target.weightVersions.empty()
+                          : std::ranges::none_of(models, [&](const std::string& model) {
+                                return target.weightVersions.contains(model);
+                            });
+}
+
 const service_info* relay_config::findService(std::string_view name) const
 {
     const auto found = m_services.find(name);
--- a/src/libs/relay/relay_config.h
+++ b/src/libs/relay/relay_config.h
@@ -89,6 +89,8 @@
     base::duration idleTimeout = std::chrono::seconds(15);
 };
 
+struct target_registration;
+
 /// One version of the operator's configuration; immutable.
 class relay_config {
 public:
@@ -113,6 +115,10 @@
     const service_info* findService(std::string_view name) const;
     const std::map<std::string, service_info, std::less<>>& services() const { return m_services; }
 
+    /// Returns whether the service of \a target has a model engine and \a target states the weights of none
+    /// of its models.
+    bool lacksWeights(const target_registration& target) const;
+
 private:
     std::uint64_t m_version;
     caller_limits m_limits;
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -175,6 +175,9 @@
 void target_registry::setConfig(std::shared_ptr<const relay_config> config)
 {
     m_config = std::move(config);
+    // Whether a target is a model server depends on the configuration.
+    for (const auto& [id, target] : m_targets)
+        publishLoad(*target);
 }
 
 target_record* target_registry::record(routing::target_index index)
@@ -402,7 +405,9 @@
         return;
     target_load all = target.own;
     all += target.peers;
-    m_table.setOutOfService(target.index, all.loading > 0 || hasOldWeights(target));
+    m_table.setOutOfService(target.index,
+        all.loading > 0 || hasOldWeights(target)
+            || (m_config && m_config->lacksWeights(target.registration)));
     int running = std::max(all.requests, 0);
     int slots = std::max(target.registration.slots, 1);
     // Memory is exhausted before the slots are, so both are converted to requests of the mean size.
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -26,7 +26,8 @@
         relay_config::options options { .version = 1 };
         options.services.push_back({ .name = std::string(service),
             .coldRequestsPerSecond = coldPerSecond,
-            .engine = engine_limits { .slots = 64, .contextTokens = 80'000 } });
+            .engine
+            = engine_limits { .slots = 64, .contextTokens = 80'000, .models = { std::string(model) } } });
         targets.setConfig(std::make_shared<relay_config>(std::move(options)));
         for (int i = 0; i < count; ++i)
             targets.put(registration(i));
@@ -103,6 +104,37 @@
     }
 }
 
+TEST_CASE("a model server whose registration names no weights of its service gets no requests")
+{
+    // Guards against requests without an expected version; a registration of another writer may lack it.
+    for (const std::map<std::string, int>& versions :
+        { std::map<std::string, int> {}, std::map<std::string, int> { { "other", 1 } } }) {
+        fixture f(3);
+        target_registration odd = fixture::registration(1);
+        odd.weightVersions = versions;
+        f.targets.put(odd);
+        CHECK(f.chosen(200) == std::set<std::string> { "t0", "t2" });
+        f.targets.put(fixture::registration(1));
+        CHECK(f.chosen(200).contains("t1"));
+    }
+    // Whether a target is a model server is known from the configuration, which may come later.
+    base::manual_clock clock;
+    target_registry targets(clock, { .process = "p0", .failureDomain = "d0" });
+    target_chooser chooser(clock, targets, {});
+    target_registration plain = fixture::registration(0);
+    plain.weightVersions.clear();
+    targets.put(plain);
+    const auto isChosen = [&](std::optional<engine_limits> engine, std::uint64_t version) {
+        relay_config::options options { .version = version };
+        options.services.push_back({ .name = std::string(service), .engine = std::move(engine) });
+        targets.setConfig(std::make_shared<relay_config>(std::move(options)));
+        return chooser.choose({ .service = service }).target != nullptr;
+    };
+    CHECK(isChosen(std::nullopt, 1));
+    CHECK_FALSE(isChosen(engine_limits { .slots = 64, .models = { std::string(model) } }, 2));
+    CHECK(isChosen(std::nullopt, 3));
+}
+
 TEST_CASE("a target that is busy with the requests of another process is not chosen")
 {
     // Guards against processes that concentrate their requests on one target: long prompts waited 3,000 ms at
