Read a page or watch of the store that has a key that is no text

A key with bytes that are not UTF-8, or with an escape of half a surrogate pair, made the parsing of the whole page or batch fail, and again in each later call, so that the relay stopped following the store.

Before the change, "a key that is no text does not hide the other items of a page or a watch" failed with "REQUIRE( all ) is NOT correct!".

A response that cannot be parsed is parsed again with the replacement character in these places.

--- a/src/libs/relay/json_document.h
+++ b/src/libs/relay/json_document.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstdint>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 
 #include <nlohmann/json.hpp>
@@ -33,6 +34,10 @@
 /// Parses the JSON document \a text.
 nlohmann::json parseDocument(std::string_view text);
 
+/// Returns the JSON document \a text with the replacement character instead of all that is no Unicode text:
+/// bytes that are not UTF-8 (RFC 3629), and escapes of one half of a surrogate pair.
+std::string withReplacedText(std::string_view text);
+
 /// Parses the MessagePack document \a bytes.
 nlohmann::json parseMessagePack(std::string_view bytes);
 
