Use a new connection for a second send of a request to the same address

Callers were told "not run" (503) of a request that a target was running, or a request that must not be repeated ran at a second target.

A target is listed under a new index when its entry returns, and under two ids from its restart until the old entry expires. A request that was refused under the first one is sent again to the same address, mostly on the connection that has just become idle. If the target writes its earlier refusal once more there, the refusal has the id of the request and counted as the answer to the second send, while the target ran the request.

An id is now sent at most once over a connection: a session remembers the addresses it has used and takes no idle connection to one of them, so that an answer with the id answers this send. Other requests share connections as before. If all connections are in use or idle, the oldest idle one is closed for the new one.

An idle connection with unread bytes, or one that its target has closed, is not used either, since these bytes can't be the answer to a request that is written later.

--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -311,9 +311,16 @@
             { "kept_tokens", number(m_context.cachedTokens) }, { "config", number(m_config->version()) } });
 }
 
+target_pool::reuse relay_session::reusableConnections(const target_record& target) const
+{
+    if (std::ranges::find(m_triedAddresses, target.registration.address) != m_triedAddresses.end())
+        return target_pool::reuse::None;
+    return mayRepeat() ? target_pool::reuse::Any : target_pool::reuse::RecentlyUsed;
+}
+
 bool relay_session::send(target_record& target)
 {
-    m_connection = m_services.pool.acquire(target.registration.address, mayRepeat(),
+    m_connection = m_services.pool.acquire(target.registration.address, reusableConnections(target),
         std::max<std::size_t>(1, m_service->maxConnections / (target.senders + 1)));
     if (!m_connection)
         return false;
@@ -327,6 +334,7 @@
     }
     m_target = m_services.targets.targets().at(target.registration.id);
     m_tried.push_back(target.index);
+    m_triedAddresses.push_back(target.registration.address);
     m_work = work();
     m_firstTokenReceived = false;
     m_expectedFirstToken = m_services.targets.expectedPrefillTime(target, m_work) + m_context.transferTime;
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -68,6 +68,7 @@
     placement choose();
     void rejectUnplaced();
     void logDispatch(const target_record& target, std::uint64_t weightVersion) const;
+    target_pool::reuse reusableConnections(const target_record& target) const;
     bool send(target_record& target);
     target_load work() const;
     base::time_point fetchDeadline() const;
@@ -125,6 +126,7 @@
     std::string m_scope;
     context_catalog::transfer_plan m_context;
     std::vector<routing::target_index> m_tried;
+    std::vector<net::endpoint> m_triedAddresses; ///< A target may be listed again under another index.
 
     target_connection* m_connection = nullptr;
     std::shared_ptr<target_record> m_target;
--- a/src/libs/relay/target_connection.cpp
+++ b/src/libs/relay/target_connection.cpp
@@ -105,6 +105,15 @@
         bufferevent_write(m_events, request.data(), request.size());
 }
 
+bool target_connection::hasUnreadInput() const
+{
+    if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0)
+        return true;
+    char byte = 0;
+    const ssize_t received = recv(bufferevent_getfd(m_events), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void target_connection::cancel()
 {
     m_handler = nullptr;
--- a/src/libs/relay/target_connection.h
+++ b/src/libs/relay/target_connection.h
@@ -71,6 +71,9 @@
     const net::endpoint& to() const { return m_options.to; }
     bool isOpen() const { return m_events != nullptr; }
 
+    /// Returns whether bytes, or the end of the connection, were received and not read yet.
+    bool hasUnreadInput() const;
+
     /// Returns when the last answer ended.
     base::time_point idleSince() const { return m_idleSince; }
 
--- a/src/libs/relay/target_pool.cpp
+++ b/src/libs/relay/target_pool.cpp
@@ -11,24 +11,28 @@
 {
 }
 
-bool target_pool::isReusable(const target_connection& connection, bool repeatable) const
+bool target_pool::isReusable(const target_connection& connection, reuse reusable) const
 {
+    if (!connection.isOpen() || connection.hasUnreadInput())
+        return false;
     const base::duration idle = m_clock.now() - connection.idleSince();
     const base::duration usableFor
         = connection.keepAlive().value_or(m_options.idleLimit) - m_options.idleMargin;
-    return idle < usableFor && (repeatable || idle < m_options.idleLimitUnrepeatable);
+    return idle < usableFor && (reusable == reuse::Any || idle < m_options.idleLimitUnrepeatable);
 }
 
-target_connection* target_pool::acquire(const net::endpoint& to, bool repeatable, std::size_t maxConnections)
+target_connection* target_pool::acquire(const net::endpoint& to, reuse reusable, std::size_t maxConnections)
 {
     address_record& record = m_addresses[to.text()];
-    while (!record.idle.empty()) {
+    while (reusable != reuse::None && !record.idle.empty()) {
         target_connection* connection = record.idle.back();
         record.idle.pop_back();
-        if (connection->isOpen() && isReusable(*connection, repeatable))
+        if (isReusable(*connection, reusable))
             return connection;
         connection->cancel();
     }
+    if (record.open >= maxConnections && !record.idle.empty())
+        record.idle.front()->cancel();
     if (record.open >= maxConnections)
         return nullptr;
     auto owned = std::make_unique<target_connection>(m_loop,
--- a/src/libs/relay/target_pool.h
+++ b/src/libs/relay/target_pool.h
@@ -26,9 +26,18 @@
 
     target_pool(net::event_loop& loop, const base::clock& time, options opts);
 
-    /// Returns a connection to \a to, preferably a reusable idle one; null if \a maxConnections are open.
-    /// \a repeatable says whether the request may be sent again if the connection turns out to be closed.
-    target_connection* acquire(const net::endpoint& to, bool repeatable, std::size_t maxConnections);
+    /// Idle connections that a request may use.
+    enum class reuse {
+        Any, ///< For a request that may be sent again if the connection turns out to be closed.
+        RecentlyUsed, ///< For a request that must not be sent twice.
+        /// For a request that was sent to the same address before. A faulty target may repeat its earlier
+        /// answer on the connection of that send, and the id would not tell it from the new one.
+        None,
+    };
+
+    /// Returns a connection to \a to, an idle one if \a reusable allows it; null if \a maxConnections are in
+    /// use.
+    target_connection* acquire(const net::endpoint& to, reuse reusable, std::size_t maxConnections);
 
     /// Closes the idle connections to \a to, for example because the address now belongs to another target.
     void closeIdle(const net::endpoint& to);
@@ -43,7 +52,7 @@
 
     void connectionClosed(target_connection& connection);
     void connectionIdle(target_connection& connection);
-    bool isReusable(const target_connection& connection, bool repeatable) const;
+    bool isReusable(const target_connection& connection, reuse reusable) const;
 
     net::event_loop& m_loop;
     const base::clock& m_clock;
