Believe "not run" only of an answer that can mean it

Callers of requests that must not be repeated were told 503, 429 or 408 by a target that had run them without saying X-Not-Run, and take these statuses for the promise that the request has not run.

For a request that must not be repeated, a status that implies "not run" without saying so ends as 502, which promises nothing and has no seal of the target. Requests that may be repeated get such an answer as it is if no other target gives a better one.

--- a/src/libs/relay/http_status.h
+++ b/src/libs/relay/http_status.h
@@ -11,6 +11,7 @@
 inline constexpr int requestTimeout = 408;
 inline constexpr int contentTooLarge = 413;
 inline constexpr int misdirectedRequest = 421;
+inline constexpr int tooManyRequests = 429;
 inline constexpr int headersTooLarge = 431;
 inline constexpr int serverError = 500; ///< First code of the server errors.
 inline constexpr int badGateway = 502;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -50,7 +50,9 @@
         return true;
     }
     const bool success = head.status >= http_status::ok && head.status < http_status::multipleChoices;
-    if (answer.encoded || (success && !answer.authentic)) {
+    // A caller would send the request again although it may have run.
+    const bool falseRefusal = answer.impliesNotRun && !mayRepeat();
+    if (answer.encoded || (success && !answer.authentic) || falseRefusal) {
         m_answer = answer_state::Failed;
         scheduleDiscardEnd(discardTimeout);
         return true;
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -38,6 +38,8 @@
 struct target_answer {
     std::string attemptId = {};
     bool notRun = false; ///< The target states that it has not run the request and will not.
+    /// A caller takes the status for that statement, whether or not the target makes it.
+    bool impliesNotRun = false;
     /// The answer has the mark of the target; a success status without it counts as a failure.
     bool authentic = false;
     /// An intermediary has changed the body, for example by a content encoding.
