--- a/src/libs/relay/answer_begin.cpp
+++ b/src/libs/relay/answer_begin.cpp
@@ -7,7 +7,7 @@
 answer_use judgeBegin(const begun_answer& answer)
 {
     const bool success = answer.status >= http_status::ok && answer.status < http_status::multipleChoices;
-    if (answer.encoded || (success && !answer.authentic))
+    if (answer.encoded || (success && !answer.authentic) || answer.isFalseRefusal)
         return answer_use::Discard;
     if (answer.callerStatus) {
         const bool continues = success && answer.status == *answer.callerStatus && answer.mayBeEventStream;
--- a/src/libs/relay/answer_begin.h
+++ b/src/libs/relay/answer_begin.h
@@ -18,6 +18,9 @@
     bool encoded = false; ///< Has a content encoding, so it is not the target's own body.
     bool mayBeEventStream = false;
     bool isStreamRoute = false;
+    /// The status implies that a request which must not be repeated has not run, and the target does not say
+    /// so.
+    bool isFalseRefusal = false;
     bool mayRetry = false; ///< Another target may be tried if this answer is discarded.
     std::optional<int> callerStatus = {}; ///< Status of the head that the caller has.
 };
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -75,6 +75,7 @@
         .encoded = answer.encoded,
         .mayBeEventStream = mayBeEventStream(head),
         .isStreamRoute = m_route->kind == request_kind::Stream,
+        .isFalseRefusal = answer.impliesNotRun && !mayRepeat(),
         .mayRetry = mayRetry(base::verdict::Ran),
         .callerStatus = m_callerStatus });
     m_isEventStream = use == answer_use::Forward && mayBeEventStream(head);
--- a/tests/libs/relay/answer_begin_test.cpp
+++ b/tests/libs/relay/answer_begin_test.cpp
@@ -55,4 +55,5 @@
     CHECK(judgeBegin({ .status = 200, .isStreamRoute = true }) == answer_use::Discard);
     CHECK(judgeBegin({ .status = 500, .mayRetry = true }) == answer_use::Discard);
     CHECK(judgeBegin({ .status = 500 }) == answer_use::Collect);
+    CHECK(judgeBegin({ .status = 503, .isFalseRefusal = true }) == answer_use::Discard);
 }
