Check the end of an answer of a leaving target as of any other

The target had reported that it drains and was gone 2 s later, with its streams still running. An answer without a length ends with its connection, and judgeEnd() took that end for the end of the content, without the probe that follows it for other targets, if the target was draining or removed.

The end is now checked for all targets. A leaving target must be found listening for its answer to count as complete: it is expected to end, so that silence, which counts as a running target otherwise, isn't enough. What is found (target_presence) is separate from the judgment (isComplete). The removal of a registration confirmed the end of a target for checkEnded() as well; a target that leaves without notice goes on serving after it, so only a refused probe or another run at its place does now. An answer that is broken off by a target that leaves is no evidence against the shared parts of its prompt.

An answer must not look complete when it may not be. Undecidable remain a target that closes the connection between two events and still listens at the probe, and an answer that is at its end when the target is killed.

The row "leaving target" of answer_end_test asserted the fault.

--- a/src/libs/relay/answer_end.cpp
+++ b/src/libs/relay/answer_end.cpp
@@ -17,7 +17,12 @@
         return answer_end::Complete;
     if (answer.isCutJson || (answer.stream && !answer.stream->hasEvent()))
         return answer_end::BrokenOff;
-    return answer.targetIsLeaving ? answer_end::Complete : answer_end::CheckTarget;
+    return answer_end::CheckTarget;
+}
+
+bool isComplete(target_presence found, bool isLeaving)
+{
+    return found == target_presence::Listening || (found == target_presence::Unknown && !isLeaving);
 }
 
 bool mayBeEventStream(const message_head& head)
--- a/src/libs/relay/answer_end.h
+++ b/src/libs/relay/answer_end.h
@@ -2,6 +2,7 @@
 
 #include "event_scanner.h"
 #include "message_parser.h"
+#include "target_end_detector.h"
 
 namespace marigold::relay {
 
@@ -10,7 +11,7 @@
     Complete,
     BrokenOff,
     /// Only the end of the connection tells the end of the content. An ending target closes its connections
-    /// in the same way, so that the answer is complete only if the target is still there.
+    /// in the same way, so that the answer is complete only if the target is still there (`isComplete`).
     CheckTarget,
 };
 
@@ -20,13 +21,17 @@
     body_framing framing = body_framing::None;
     bool isCutJson = false; ///< The body is stated to be JSON and can't be parsed.
     const event_boundary* stream = nullptr; ///< Position in the stream of events; null for another body.
-    bool targetIsLeaving = false; ///< The target ends soon by plan; its last answers are complete.
 };
 
 /// Judges whether an answer is complete. The framing of a message tells the end of its bytes, not that of its
 /// content: an ending target, or an intermediary, may end a message in the middle of an event.
 answer_end judgeEnd(const ended_answer& answer);
 
+/// Returns true if an answer that ended with its connection is complete. \a found tells what was found at the
+/// address of its target afterwards. A target that leaves (\a isLeaving) ends anyway, and may do so in the
+/// middle of its answers, so that it must be found there.
+bool isComplete(target_presence found, bool isLeaving);
+
 /// Returns true if the body of an answer to a request for events may be such a stream by its Content-Type.
 bool mayBeEventStream(const message_head& head);
 
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -82,7 +82,7 @@
     bool refuseBlocked();
     bool claimTrial(const blocked_part& block);
     void reportAnswered();
-    void endChecked(bool targetEnded);
+    void endChecked(target_presence found);
     void completeAnswer();
     void abandonAttempt();
     std::string_view answerProgress() const;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -200,8 +200,7 @@
         .framing = m_answerHead.framing,
         .isCutJson = m_answer == answer_state::Collecting && m_answerHead.framing == body_framing::UntilClose
             && net::isCutJson(m_answerHead.headers, m_collected),
-        .stream = m_isEventStream ? &m_boundary : nullptr,
-        .targetIsLeaving = target->removed || target->registration.draining });
+        .stream = m_isEventStream ? &m_boundary : nullptr });
     if (end == answer_end::BrokenOff)
         return answerFails({ .verdict = base::verdict::MayHaveRun,
             .reason = base::error_reason::StreamBroken,
@@ -211,19 +210,21 @@
     m_connection = nullptr; // Closed; it may be destroyed before the check ends.
     m_isCheckingEnd = true;
     m_services.targetEnds.checkEnded(
-        target->registration, [this, alive = std::weak_ptr(m_alive)](bool ended) {
+        target->registration, [this, alive = std::weak_ptr(m_alive)](target_presence found) {
             if (!alive.expired() && !m_ended)
-                endChecked(ended);
+                endChecked(found);
         });
 }
 
-void relay_session::endChecked(bool targetEnded)
+void relay_session::endChecked(target_presence found)
 {
     m_isCheckingEnd = false;
-    if (!targetEnded)
+    const bool isLeaving = m_target->removed || m_target->registration.draining;
+    if (isComplete(found, isLeaving))
         return completeAnswer();
+    // The planned end of a target is no evidence against the parts of the prompt.
     answerFails({ .verdict = base::verdict::MayHaveRun,
-        .reason = base::error_reason::StreamBroken,
+        .reason = isLeaving ? base::error_reason::Unavailable : base::error_reason::StreamBroken,
         .message = "target ended when it closed the answer" });
 }
 
--- a/src/libs/relay/target_end_detector.cpp
+++ b/src/libs/relay/target_end_detector.cpp
@@ -36,17 +36,20 @@
     return record;
 }
 
-bool target_end_detector::hasEnded(std::string_view incarnation) const
+target_presence target_end_detector::presenceOf(std::string_view incarnation, net::probe_result result) const
 {
     const auto found = m_losses.find(incarnation);
-    return found != m_losses.end() && found->second.ended;
+    if (result == net::probe_result::Refused
+        || (found != m_losses.end() && found->second.end == end_evidence::Ended))
+        return target_presence::Ended;
+    return result == net::probe_result::Accepted ? target_presence::Listening : target_presence::Unknown;
 }
 
 void target_end_detector::requestLost(const target_registration& target, lost_request request)
 {
     const std::string incarnation = incarnationOf(target);
     loss& record = recordFor(target);
-    if (record.ended) {
+    if (record.end != end_evidence::None) {
         m_ended(record.target, incarnation, { std::move(request) });
         return;
     }
@@ -61,14 +64,15 @@
     record.probes = std::max(record.probes, 1);
 }
 
-void target_end_detector::checkEnded(const target_registration& target, std::function<void(bool ended)> done)
+void target_end_detector::checkEnded(
+    const target_registration& target, std::function<void(target_presence found)> done)
 {
-    recordFor(target); // A registration that changes meanwhile confirms the end.
+    recordFor(target); // A registration that is replaced meanwhile confirms the end.
     const auto probed
         = [this, incarnation = incarnationOf(target), done = std::move(done)](net::probe_result result) {
               if (result == net::probe_result::Refused)
-                  confirm(incarnation);
-              done(hasEnded(incarnation));
+                  confirm(incarnation, end_evidence::Ended);
+              done(presenceOf(incarnation, result));
           };
     m_timers.runAfter(m_options.settleTime,
         [this, address = target.address, probed] { m_probe(address, m_options.probeTimeout, probed); });
@@ -77,7 +81,7 @@
 void target_end_detector::probe(const std::string& incarnation)
 {
     const auto found = m_losses.find(incarnation);
-    if (found == m_losses.end() || found->second.ended)
+    if (found == m_losses.end() || found->second.end != end_evidence::None)
         return;
     m_probe(found->second.target.address, m_options.probeTimeout,
         [this, incarnation](net::probe_result result) { probed(incarnation, result); });
@@ -86,9 +90,9 @@
 void target_end_detector::probed(const std::string& incarnation, net::probe_result result)
 {
     if (result == net::probe_result::Refused)
-        return confirm(incarnation);
+        return confirm(incarnation, end_evidence::Ended);
     const auto found = m_losses.find(incarnation);
-    if (found == m_losses.end() || found->second.ended)
+    if (found == m_losses.end() || found->second.end != end_evidence::None)
         return;
     if (++found->second.probes > maxProbes) {
         found->second.probes = 0; // The next loss is probed again.
@@ -97,10 +101,14 @@
     m_timers.runAfter(m_options.secondProbeDelay, [this, incarnation] { probe(incarnation); });
 }
 
-void target_end_detector::confirm(const std::string& incarnation)
+void target_end_detector::confirm(const std::string& incarnation, end_evidence evidence)
 {
     const auto found = m_losses.find(incarnation);
-    if (found == m_losses.end() || std::exchange(found->second.ended, true))
+    if (found == m_losses.end())
+        return;
+    const end_evidence known = found->second.end;
+    found->second.end = std::max(known, evidence);
+    if (known != end_evidence::None)
         return;
     const std::vector<lost_request> requests = std::exchange(found->second.requests, {});
     m_ended(target_registration(found->second.target), incarnation, requests);
@@ -117,7 +125,7 @@
         if (name != incarnation && (record.target.id == target.id || record.target.address == target.address))
             replaced.push_back(name);
     for (const std::string& name : replaced)
-        confirm(name);
+        confirm(name, end_evidence::Ended);
 }
 
 void target_end_detector::targetRemoved(std::string_view id)
@@ -128,7 +136,7 @@
         if (record.target.id == id)
             removed.push_back(name);
     for (const std::string& name : removed)
-        confirm(name);
+        confirm(name, end_evidence::Removed);
 }
 
 void target_end_detector::removeOld()
--- a/src/libs/relay/target_end_detector.h
+++ b/src/libs/relay/target_end_detector.h
@@ -20,6 +20,13 @@
     bool answerBegun = false; ///< The head of the answer was received.
 };
 
+/// What is known of a target after it has closed a connection.
+enum class target_presence {
+    Listening,
+    Unknown, ///< It can't be reached.
+    Ended, ///< Nothing listens at its address, or another run has taken its place.
+};
+
 /// Tells the end of a target from the loss of a connection.
 ///
 /// A lost connection is followed by a probe of the target's address. If nothing listens there, or if the
@@ -50,8 +57,9 @@
     void requestLost(const target_registration& target, lost_request request);
 
     /// Probes whether \a target has ended, since it closed the connection of an answer whose end nothing else
-    /// tells. \a done is called once, after one probe; a target that can't be reached counts as running.
-    void checkEnded(const target_registration& target, std::function<void(bool ended)> done);
+    /// tells. \a done is called once, after one probe. The removal of its registration is no evidence: a
+    /// target that leaves without notice goes on serving.
+    void checkEnded(const target_registration& target, std::function<void(target_presence found)> done);
 
     /// Records a registration; a new one at the address of a target confirms that it has ended.
     void targetRegistered(const target_registration& target);
@@ -62,20 +70,21 @@
     static std::string incarnationOf(const target_registration& target);
 
 private:
+    enum class end_evidence { None, Removed, Ended };
     struct loss {
         target_registration target;
         std::vector<lost_request> requests;
         base::time_point at {};
         int probes = 0;
-        bool ended = false;
+        end_evidence end = end_evidence::None;
     };
 
     loss& recordFor(const target_registration& target);
-    bool hasEnded(std::string_view incarnation) const;
+    target_presence presenceOf(std::string_view incarnation, net::probe_result result) const;
 
     void probe(const std::string& incarnation);
     void probed(const std::string& incarnation, net::probe_result result);
-    void confirm(const std::string& incarnation);
+    void confirm(const std::string& incarnation, end_evidence evidence);
     void removeOld();
 
     base::scheduler& m_timers;
--- a/tests/libs/relay/answer_end_test.cpp
+++ b/tests/libs/relay/answer_end_test.cpp
@@ -123,7 +123,7 @@
 
 TEST_CASE("the end of an answer tells as much as its framing, its content and its target do")
 {
-    // Guards against a failure whose text is judged, and against a planned end taken for a crash.
+    // Guards against a failure whose text is judged, and against an end that is not checked.
     event_boundary afterEvent;
     afterEvent.feed("data: 1\n\n");
     const event_boundary empty;
@@ -142,12 +142,9 @@
                 answer_end::CheckTarget },
             row { "cut JSON", { .status = 200, .framing = body_framing::UntilClose, .isCutJson = true },
                 answer_end::BrokenOff },
-            row { "leaving target",
-                { .status = 200,
-                  .framing = body_framing::UntilClose,
-                  .stream = &afterEvent,
-                  .targetIsLeaving = true },
-                answer_end::Complete },
+            row { "event until the close",
+                { .status = 200, .framing = body_framing::UntilClose, .stream = &afterEvent },
+                answer_end::CheckTarget },
             row { "no event until the close",
                 { .status = 200, .framing = body_framing::UntilClose, .stream = &empty },
                 answer_end::BrokenOff },
@@ -158,3 +155,22 @@
         CHECK(judgeEnd(item.answer) == item.end);
     }
 }
+
+TEST_CASE("a target that leaves must be found at its address for its answer to be complete")
+{
+    // Guards against taking the end of a leaving target for that of its answers, and against breaking off the
+    // answers of a running target that can't be reached for a moment.
+    struct row {
+        target_presence found;
+        bool isLeaving;
+        bool complete;
+    };
+    for (const row& item :
+        { row { target_presence::Listening, false, true }, row { target_presence::Listening, true, true },
+            row { target_presence::Unknown, false, true }, row { target_presence::Unknown, true, false },
+            row { target_presence::Ended, false, false }, row { target_presence::Ended, true, false } }) {
+        CAPTURE(static_cast<int>(item.found));
+        CAPTURE(item.isLeaving);
+        CHECK(isComplete(item.found, item.isLeaving) == item.complete);
+    }
+}
--- a/tests/libs/relay/target_end_detector_test.cpp
+++ b/tests/libs/relay/target_end_detector_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -73,27 +74,34 @@
     struct row {
         std::string name;
         probe_result result;
-        std::optional<std::uint64_t>
-            registeredStart; ///< Start time of a run that registers before the probe.
-        bool ended;
+        std::function<void(target_end_detector&)> beforeProbe;
+        target_presence found;
+    };
+    const auto registeredAt = [](std::uint64_t start) {
+        return [start](target_end_detector& detector) {
+            detector.targetRegistered({ .id = "t", .service = "svc", .startedAtMs = start });
+        };
     };
-    for (const row& item : { row { "refused", probe_result::Refused, {}, true },
-             row { "accepted", probe_result::Accepted, {}, false },
-             row { "unreachable", probe_result::Unknown, {}, false },
-             row { "started again", probe_result::Accepted, 6, true },
-             row { "registered as before", probe_result::Accepted, 5, false } }) {
+    const auto nothing = [](target_end_detector&) {};
+    const auto removed = [](target_end_detector& detector) { detector.targetRemoved("t"); };
+    for (const row& item : { row { "refused", probe_result::Refused, nothing, target_presence::Ended },
+             row { "accepted", probe_result::Accepted, nothing, target_presence::Listening },
+             row { "unreachable", probe_result::Unknown, nothing, target_presence::Unknown },
+             row { "started again", probe_result::Accepted, registeredAt(6), target_presence::Ended },
+             row { "registered as before", probe_result::Accepted, registeredAt(5),
+                 target_presence::Listening },
+             row { "removed, accepted", probe_result::Accepted, removed, target_presence::Listening },
+             row { "removed, refused", probe_result::Refused, removed, target_presence::Ended } }) {
         CAPTURE(item.name);
         fixture f;
         f.results = { item.result };
-        std::optional<bool> ended;
-        f.detector.checkEnded(f.target, [&](bool result) { ended = result; });
-        if (item.registeredStart)
-            f.detector.targetRegistered(
-                { .id = "t", .service = "svc", .startedAtMs = *item.registeredStart });
-        CHECK_FALSE(ended);
+        std::optional<target_presence> found;
+        f.detector.checkEnded(f.target, [&](target_presence result) { found = result; });
+        item.beforeProbe(f.detector);
+        CHECK_FALSE(found);
         f.timers.advance(std::chrono::milliseconds(10));
-        REQUIRE(ended);
-        CHECK(*ended == item.ended);
+        REQUIRE(found);
+        CHECK(*found == item.found);
         CHECK(f.probes == 1);
     }
 }
