Tell a restarted relay for how long new weights have been named

The store doesn't tell the age of a version: revisions are no times.

Relays now tell each other. A load digest that lists all loads also carries, for each version named within twice the limit, its age by the steady clock of the sender; the greatest age counts, since an age can only be too small. No clocks of two VMs are compared and nothing is written to the store; without a recent change a digest grows by one byte. An age is exact if a process saw the version come. A peer also tells of a version between the one of the targets and the newest, which the store no longer shows. A version that the store hasn't shown yet isn't taken from a datagram.

With all relays killed at once, or no peer in reach, the limit of half of start_grace_ms holds: for some seconds, requests are refused if no target has the new weights yet, although they may have been named just before. Without a witness that can't be avoided, since the age may have passed the limit. A record in the store would close this gap; it costs a write for each version, and its age would need a clock that outlives the processes. Not covered is a relay that was cut off from the store and from its peers while a version was named, and whose peers have all restarted since: it takes the version for new when it sees it.

Tests that fail with the former rule put back into target_chooser.cpp (age always known, reports ignored): all eight rows of "a restarted process begins the time limit of named weights anew only while it is not bound to it" at CHECK( f.choose().outcome == placement_outcome::NoTarget ) with values CHECK( 0 == 3 ), and "processes that restart at any time and lose reports keep the time limit of each version" at RC_ASSERT(usesOld == (age < bound / 2)). "a relay that finds named weights at its start does not take them for just named" fails without the change in relay_server.cpp: CHECK( 200 == 503 ).

--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -54,8 +54,15 @@
         versions.push_back(model);
         versions.push_back(version);
     }
+    json ages = json::array();
+    for (const version_age& item : digest.versionAges) {
+        ages.push_back(item.model);
+        ages.push_back(item.version);
+        ages.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(item.age).count());
+        ages.push_back(item.isExact);
+    }
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
-                         digest.isPartial, std::move(fetches) }),
+                         digest.isPartial, std::move(fetches), std::move(ages) }),
         bytes);
     return bytes;
 }
@@ -86,6 +93,13 @@
         for (std::size_t i = 0; i + 2 < fetches.size(); i += 3)
             digest.fetches.push_back(
                 { .store = fetches.at(i), .inTime = fetches.at(i + 1), .late = fetches.at(i + 2) });
+        constexpr std::size_t agesAt = 6;
+        const json ages = value.size() > agesAt ? value.at(agesAt) : json::array();
+        for (std::size_t i = 0; i + 3 < ages.size(); i += 4)
+            digest.versionAges.push_back({ .model = ages.at(i),
+                .version = ages.at(i + 1),
+                .age = std::chrono::milliseconds(ages.at(i + 2).get<std::uint32_t>()),
+                .isExact = ages.at(i + 3) });
         return digest;
     } catch (const json::exception& error) {
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -24,6 +24,16 @@
     bool operator==(const target_load&) const = default;
 };
 
+/// Time since a weight version was named, as a process knows it.
+struct version_age {
+    std::uint64_t model = 0; ///< Hash of the model.
+    int version = 0;
+    base::duration age { 0 };
+    bool isExact = true; ///< Otherwise the version may be older than that.
+
+    bool operator==(const version_age&) const = default;
+};
+
 /// The unfinished work of one process at all targets, as sent to its peers.
 struct load_digest {
     std::string process;
@@ -38,6 +48,7 @@
     bool isPartial = false; ///< Lists only targets whose load has just changed; the others are as before.
     /// Oldest weight version on which the process still starts requests, by the hash of the model.
     std::map<std::uint64_t, int> oldestInUse = {};
+    std::vector<version_age> versionAges = {};
 };
 
 /// First byte of each datagram with a load digest; distinguishes it from other datagrams of the relays.
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -130,15 +130,17 @@
     const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
     const std::vector<fetch_outcomes> fetches
         = m_options.takeFetchOutcomes ? m_options.takeFetchOutcomes() : std::vector<fetch_outcomes> {};
+    const std::vector<version_age> ages
+        = m_options.versionAges ? m_options.versionAges() : std::vector<version_age> {};
     for (const std::string& id : m_groupPeers)
-        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads), .fetches = fetches });
+        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads), .fetches = fetches, .versionAges = ages });
     const base::duration interval = publishInterval();
     m_otherCredit = std::min(static_cast<double>(m_otherPeers.size()),
         m_otherCredit
             + m_options.maxOtherDatagramsPerSecond * std::chrono::duration<double>(interval).count());
     for (; m_otherCredit >= 1; --m_otherCredit) {
         const std::string& id = m_otherPeers[m_nextOther++ % m_otherPeers.size()];
-        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads) });
+        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads), .versionAges = ages });
     }
     m_timers.runAfter(interval, [this] { publish(); });
 }
@@ -159,6 +161,8 @@
     m_targets.weightsInUse().reported(digest->process, digest->oldestInUse);
     if (m_options.fetchOutcomesReceived)
         m_options.fetchOutcomesReceived(digest->fetches);
+    if (m_options.versionAgesReceived)
+        m_options.versionAgesReceived(digest->versionAges);
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -38,6 +38,10 @@
         std::function<std::vector<fetch_outcomes>()> takeFetchOutcomes = {};
         /// Called with the outcomes of fetches of a peer; may be empty.
         std::function<void(std::span<const fetch_outcomes>)> fetchOutcomesReceived = {};
+        /// Returns the ages of the weight versions that a peer may have missed; may be empty.
+        std::function<std::vector<version_age>()> versionAges = {};
+        /// Called with the ages that a peer has sent; may be empty.
+        std::function<void(std::span<const version_age>)> versionAgesReceived = {};
     };
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -41,7 +41,8 @@
               .failureDomain = m_options.failureDomain,
               .coldFactor = m_options.coldFactor,
               .coldSlack = m_options.coldSlack })
-    , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
+    , m_chooser(
+          time, m_targets, { .versionLimit = m_options.versionLimit, .startGrace = m_options.startGrace })
     , m_probe(loop)
     , m_targetEnds(
           loop, time,
@@ -103,8 +104,10 @@
           { .process = m_options.process,
               .takeFetchOutcomes = [this] { return m_catalog.takeFetchOutcomes(); },
               .fetchOutcomesReceived
-              = [this](
-                    std::span<const fetch_outcomes> outcomes) { m_catalog.recordFetchOutcomes(outcomes); } })
+              = [this](std::span<const fetch_outcomes> outcomes) { m_catalog.recordFetchOutcomes(outcomes); },
+              .versionAges = [this] { return m_chooser.ages(); },
+              .versionAgesReceived
+              = [this](std::span<const version_age> ages) { m_chooser.agesReported(ages); } })
     , m_callers(loop, m_options.callers,
           [this](caller_connection& caller, message_head&& head, std::string&& body) {
               requestReceived(caller, std::move(head), std::move(body));
@@ -358,7 +361,8 @@
     {
         self.m_log.write(
             events::versionNamed, { { "model", named.model }, { "version", std::to_string(named.version) } });
-        self.m_chooser.setWantedVersion(named.model, named.version);
+        self.m_chooser.setWantedVersion(named.model, named.version,
+            self.m_replacing && !self.m_hasSnapshot ? named_at::Unknown : named_at::Now);
         self.m_rollout.setWantedVersion(named.model, named.version);
     }
 
@@ -428,6 +432,7 @@
             targets.push_back(target->id);
     }
     m_replacing = false;
+    m_hasSnapshot = true;
     m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
     m_targets.retainTargets(targets);
     applyExcluded();
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -45,6 +45,8 @@
     base::duration changeLimit = std::chrono::seconds(2);
     /// Time after a change of the wanted weight version in which requests may still start on older weights.
     base::duration versionLimit = std::chrono::seconds(6);
+    /// Time after its start from which the process must keep that limit, whatever happened before.
+    base::duration startGrace = std::chrono::seconds(3);
     /// Retries, including sends that a target refused, that all processes may make beyond a share of the
     /// requests.
     double retrySlack = 50;
@@ -137,6 +139,7 @@
     /// while: registrations lapse in an outage of the store although the processes run.
     std::map<std::string, base::time_point, std::less<>> m_missingProcesses;
     bool m_replacing = false; ///< A whole snapshot is being applied; its processes are applied at its end.
+    bool m_hasSnapshot = false; ///< The state at the start is known.
     std::vector<quarantine_entry> m_snapshotQuarantine; ///< Of that snapshot; applied at its end.
     std::unordered_map<relay_session*, std::unique_ptr<relay_session>> m_sessions;
     net::udp_socket m_datagrams;
--- a/src/libs/relay/relay_settings.cpp
+++ b/src/libs/relay/relay_settings.cpp
@@ -51,6 +51,10 @@
                          "older weights.",
             .minimum = 0,
             .maximum = maxDurationMs });
+    reader.add("relay.start_grace_ms", &startGrace,
+        { .description = "Time after its start from which a process must keep the time limits of changes.",
+            .minimum = 0,
+            .maximum = maxDurationMs });
     reader.add("relay.retry_slack", &retrySlack,
         { .description = "Retries within the budget window that all processes together may make "
                          "beyond the share of the requests.",
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -20,6 +20,7 @@
     std::chrono::milliseconds configLimit { 2000 };
     std::chrono::milliseconds leaveLimit { 2000 };
     std::chrono::milliseconds versionLimit { 6000 };
+    std::chrono::milliseconds startGrace { 3000 };
     double retrySlack = 50;
     double retryShare = 0.2;
     double coldFactor = 1.0;
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -11,44 +11,82 @@
 {
 }
 
-void target_chooser::setWantedVersion(std::string_view model, int version)
+void target_chooser::setWantedVersion(std::string_view model, int version, named_at time)
 {
-    std::vector<wanted_version>& wanted = m_wantedVersions[std::string(model)];
+    wanted_versions& wanted = m_wantedVersions[base::hash64(model)];
     if (!wanted.empty() && version <= wanted.back().version)
         return;
-    const int overdue = overdueVersion(model);
+    const int overdue = overdueVersion(wanted);
     std::erase_if(wanted, [overdue](const wanted_version& item) { return item.version < overdue; });
-    wanted.push_back({ .version = version, .since = m_clock.now() });
+    wanted.push_back({ .version = version, .since = m_clock.now(), .isAgeKnown = time != named_at::Unknown });
 }
 
-int target_chooser::overdueVersion(std::string_view model) const
+void target_chooser::agesReported(std::span<const version_age> ages)
+{
+    for (const version_age& report : ages) {
+        const auto model = m_wantedVersions.find(report.model);
+        // A version that the platform's store has not shown yet is not wanted on the word of a peer.
+        if (model == m_wantedVersions.end() || report.version > model->second.back().version)
+            continue;
+        wanted_versions& wanted = model->second;
+        const base::time_point since = m_clock.now() - report.age;
+        const auto item = std::ranges::lower_bound(wanted, report.version, {}, &wanted_version::version);
+        if (item->version != report.version) {
+            wanted.insert(item, { .version = report.version, .since = since, .isAgeKnown = report.isExact });
+            continue;
+        }
+        item->since = std::min(item->since, since);
+        item->isAgeKnown = item->isAgeKnown || report.isExact;
+    }
+}
+
+std::vector<version_age> target_chooser::ages() const
+{
+    std::vector<version_age> known;
+    for (const auto& [model, wanted] : m_wantedVersions)
+        for (const wanted_version& item : wanted)
+            // Later, a restarted process has reached its own limit before it is bound to this one.
+            if (const base::duration age = m_clock.now() - item.since; age < 2 * m_options.versionLimit)
+                known.push_back(
+                    { .model = model, .version = item.version, .age = age, .isExact = item.isAgeKnown });
+    return known;
+}
+
+bool target_chooser::isOverdue(const wanted_version& item) const
+{
+    return m_clock.now() - item.since >= oldWeightsLimit(item.isAgeKnown);
+}
+
+int target_chooser::overdueVersion(const wanted_versions& wanted) const
 {
     int overdue = 0;
-    if (const auto found = m_wantedVersions.find(model); found != m_wantedVersions.end())
-        for (const wanted_version& item : found->second)
-            if (m_clock.now() - item.since >= oldWeightsLimit())
-                overdue = item.version;
+    for (const wanted_version& item : wanted)
+        if (isOverdue(item))
+            overdue = item.version;
     return overdue;
 }
 
-base::duration target_chooser::oldWeightsLimit() const
+base::duration target_chooser::oldWeightsLimit(bool isAgeKnown) const
 {
-    const auto limit = static_cast<double>(m_options.versionLimit.count());
-    return base::duration(static_cast<std::int64_t>(m_options.oldWeightsShare * limit));
+    const base::duration limit
+        = isAgeKnown ? m_options.versionLimit : std::min(m_options.versionLimit, m_options.startGrace);
+    return base::duration(
+        static_cast<std::int64_t>(m_options.oldWeightsShare * static_cast<double>(limit.count())));
 }
 
 std::string target_chooser::requiredVersion(const placement_request& request)
 {
     if (request.model.empty())
         return {};
-    const auto found = m_wantedVersions.find(request.model);
-    const int wanted = found == m_wantedVersions.end() ? 0 : found->second.back().version;
+    const auto found = m_wantedVersions.find(base::hash64(request.model));
+    const bool isNamed = found != m_wantedVersions.end();
+    const int wanted = isNamed ? found->second.back().version : 0;
     // Targets may already have a version that this process has not been notified of.
     const int newest = m_targets.newestVersion(request.service, request.model);
     const int required = std::max(wanted, newest);
     if (required == 0)
         return {};
-    const int usable = std::max(overdueVersion(request.model),
+    const int usable = std::max(isNamed ? overdueVersion(found->second) : 0,
         m_targets.versionOfShare(request.service, request.model, m_options.newWeightsShare));
     m_targets.stopUsingOlderWeights(request.model, usable);
     return usable >= required ? std::to_string(required) : std::string();
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -22,10 +22,17 @@
     std::span<const routing::target_index> triedTargets = {};
 };
 
+/// What a process knows of the time at which a weight version was named.
+enum class named_at {
+    Now,
+    Unknown, ///< It was named before the start of the process.
+};
+
 /// A weight version that the operator wants for a model.
 struct wanted_version {
     int version = 0;
-    base::time_point since {}; ///< When this process was notified.
+    base::time_point since {}; ///< When this process was notified, or earlier by the report of a peer.
+    bool isAgeKnown = true; ///< A process saw it come.
 };
 
 enum class placement_outcome {
@@ -53,6 +60,9 @@
         /// Share of that time after which no request is sent to older weights: a request may wait at its
         /// target for seconds before it starts.
         double oldWeightsShare = 0.5;
+        /// Time after the start of a process in which it is not bound to that limit. The same share of it is
+        /// the limit for a version that was named before the start, as long as no peer tells its age.
+        base::duration startGrace = std::chrono::seconds(3);
     };
 
     target_chooser(const base::clock& time, target_registry& targets, options opts);
@@ -60,21 +70,30 @@
     placement choose(const placement_request& request);
 
     /// Records that \a version is the wanted version of \a model.
-    void setWantedVersion(std::string_view model, int version);
+    void setWantedVersion(std::string_view model, int version, named_at time = named_at::Now);
+
+    /// Records the ages that a peer has sent. The greatest one of a version counts.
+    void agesReported(std::span<const version_age> ages);
+
+    /// Returns the ages of the versions for which a restarted process may still need them.
+    std::vector<version_age> ages() const;
 
 private:
-    base::duration oldWeightsLimit() const;
-    /// Returns the newest version of \a model that has been wanted for longer than old weights may be used;
+    using wanted_versions = std::vector<wanted_version>;
+
+    base::duration oldWeightsLimit(bool isAgeKnown) const;
+    bool isOverdue(const wanted_version& item) const;
+    /// Returns the newest version in \a wanted that has been wanted for longer than old weights may be used;
     /// 0 if there is none.
-    int overdueVersion(std::string_view model) const;
+    int overdueVersion(const wanted_versions& wanted) const;
     /// Returns the version that \a request must run on; empty if all versions in use may serve it.
     std::string requiredVersion(const placement_request& request);
 
     const base::clock& m_clock;
     target_registry& m_targets;
     options m_options;
-    /// By model, oldest first: all whose time limit has not passed, and the last one before them.
-    std::map<std::string, std::vector<wanted_version>, std::less<>> m_wantedVersions;
+    /// By hash of the model, oldest first: all whose time limit has not passed, and the last one before them.
+    std::map<std::uint64_t, wanted_versions> m_wantedVersions;
 };
 
 } // namespace marigold::relay
--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -47,6 +47,7 @@
         .changeLimit = std::clamp<base::duration>(
             std::min(settings.configLimit, settings.leaveLimit), shortestChangeLimit, longestChangeLimit),
         .versionLimit = settings.versionLimit,
+        .startGrace = settings.startGrace,
         .retrySlack = settings.retrySlack,
         .retryShare = settings.retryShare,
         .coldFactor = settings.coldFactor,
--- a/tests/libs/relay/load_exchange_test.cpp
+++ b/tests/libs/relay/load_exchange_test.cpp
@@ -85,6 +85,30 @@
     CHECK(f.peerTokens() == 0);
 }
 
+TEST_CASE("a peer learns the age of a weight version by the next digest")
+{
+    // Guards against a restarted process that can't learn for how long a version has been named.
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    const std::vector<version_age> ages { { 1, 2, std::chrono::milliseconds(5100) },
+        { 0xffff'ffff'ffff'ffff, 70'000, std::chrono::milliseconds(0), false } };
+    std::vector<version_age> received;
+    target_registry targets { clock, { .process = "self" } };
+    target_registry peerTargets { clock, { .process = "peer" } };
+    load_exchange peer { peerTargets, timers, [](const net::endpoint&, std::string_view) {},
+        { .process = "peer", .versionAgesReceived = [&](std::span<const version_age> all) {
+             received.assign(all.begin(), all.end());
+         } } };
+    peer.setPeers({ { "self", { .address = "10.0.0.1", .port = 1 } } });
+    load_exchange exchange { targets, timers,
+        [&](const net::endpoint&, std::string_view bytes) { peer.received(bytes); },
+        { .process = "self", .versionAges = [&] { return ages; } } };
+    exchange.setPeers({ { "peer", { .address = "10.0.0.2", .port = 1 } } });
+    exchange.start();
+    timers.advance(std::chrono::milliseconds(100));
+    CHECK(received == ages);
+}
+
 TEST_CASE("the load of a peer expires when the peer is removed")
 {
     // Guards against targets that appear busy with requests of a process that has stopped.
--- a/tests/libs/relay/placement_test.cpp
+++ b/tests/libs/relay/placement_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <memory>
 #include <set>
 
 #include <rapidcheck.h>
@@ -18,10 +19,11 @@
 struct fixture {
     base::manual_clock clock;
     target_registry targets { clock, { .process = "p0", .failureDomain = "d0" } };
-    target_chooser chooser { clock, targets, {} };
+    target_chooser chooser;
     int prompts = 0;
 
-    explicit fixture(int count, double coldPerSecond = 0)
+    explicit fixture(int count, double coldPerSecond = 0, target_chooser::options opts = {})
+        : chooser(clock, targets, opts)
     {
         relay_config::options options { .version = 1 };
         options.services.push_back({ .name = std::string(service),
@@ -197,6 +199,94 @@
     CHECK(f.choose().outcome == placement_outcome::NoTarget);
 }
 
+TEST_CASE("a restarted process begins the time limit of named weights anew only while it is not bound to it")
+{
+    // Guards against requests that start on replaced weights after a process was killed within the time limit
+    // (users' rule VERSION).
+    using std::chrono::milliseconds;
+    struct row {
+        std::string name;
+        std::vector<version_age> ages;
+        base::duration lastUse;
+    };
+    const std::uint64_t hash = base::hash64(model);
+    for (const row& item : { row { "no peer tells the age", {}, milliseconds(1500) },
+             row { "named just before", { { hash, 2, milliseconds(200) } }, milliseconds(2800) },
+             row { "named long before", { { hash, 2, milliseconds(5000) } }, milliseconds(0) },
+             row { "the greatest age counts",
+                 { { hash, 2, milliseconds(2000) }, { hash, 2, milliseconds(100) } }, milliseconds(1000) },
+             row { "an older version that is overdue",
+                 { { hash, 2, milliseconds(2600) }, { hash, 3, milliseconds(200) } }, milliseconds(400) },
+             row { "a peer does not know it either", { { hash, 2, milliseconds(1000), false } },
+                 milliseconds(500) },
+             row { "of another model", { { hash + 1, 3, milliseconds(5000) } }, milliseconds(1500) },
+             row { "not yet in the store", { { hash, 4, milliseconds(5000) } }, milliseconds(1500) } }) {
+        CAPTURE(item.name);
+        fixture f(2);
+        f.chooser.setWantedVersion(
+            model, item.ages.size() > 1 ? item.ages.back().version : 2, named_at::Unknown);
+        f.chooser.agesReported(item.ages);
+        if (item.lastUse > base::duration::zero()) {
+            f.clock.advance(item.lastUse - milliseconds(1));
+            CHECK(f.choose().outcome == placement_outcome::Chosen);
+            f.clock.advance(milliseconds(1));
+        }
+        CHECK(f.choose().outcome == placement_outcome::NoTarget);
+    }
+}
+
+TEST_CASE("processes that restart at any time and lose reports keep the time limit of each version")
+{
+    // Guards against a restart, or a sequence of them, that lets requests start on replaced weights, and
+    // against one that stops the use of weights which the other processes still use.
+    CHECK(rc::check("restarts", [] {
+        constexpr base::duration step = std::chrono::milliseconds(100);
+        const base::duration bound = std::chrono::seconds(*rc::gen::inRange(4, 13));
+        constexpr base::duration grace = std::chrono::seconds(3);
+        constexpr int processes = 3;
+        const bool reliable = *rc::gen::arbitrary<bool>(); // The first process stays, and all reports arrive.
+        int version = 1;
+        base::duration now {};
+        base::duration replacedAt {}; // When the version of the targets was replaced.
+        std::vector<base::duration> startedAt(processes);
+        const auto start = [bound] {
+            return std::make_unique<fixture>(2, 0, target_chooser::options { .versionLimit = bound });
+        };
+        std::vector<std::unique_ptr<fixture>> fleet;
+        for (int i = 0; i < processes; ++i)
+            fleet.push_back(start());
+        for (; now < 2 * bound; now += step) {
+            if (*rc::gen::inRange(0, 25) == 0) {
+                if (++version == 2)
+                    replacedAt = now;
+                for (const auto& process : fleet)
+                    process->chooser.setWantedVersion(model, version);
+            }
+            for (std::size_t i = reliable ? 1 : 0; i < processes; ++i) {
+                if (*rc::gen::inRange(0, 25) != 0)
+                    continue;
+                fleet[i] = start();
+                startedAt[i] = now;
+                if (version > 1)
+                    fleet[i]->chooser.setWantedVersion(model, version, named_at::Unknown);
+            }
+            for (const auto& from : fleet)
+                for (const auto& to : fleet)
+                    if (reliable || *rc::gen::arbitrary<bool>())
+                        to->chooser.agesReported(from->chooser.ages());
+            for (std::size_t i = 0; i < processes; ++i) {
+                const bool usesOld = fleet[i]->choose().outcome == placement_outcome::Chosen;
+                const base::duration age = version == 1 ? base::duration::zero() : now - replacedAt;
+                if (now - startedAt[i] >= grace)
+                    RC_ASSERT(!usesOld || age < bound);
+                if (reliable && age < 2 * bound)
+                    RC_ASSERT(usesOld == (age < bound / 2));
+                fleet[i]->clock.advance(step);
+            }
+        }
+    }));
+}
+
 TEST_CASE("targets with weights newer than the wanted version are used")
 {
     // Guards against a process that is partitioned from the store and rejects all targets after the next
