--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -75,8 +75,15 @@
         versions.push_back(model);
         versions.push_back(version);
     }
+    json ages = json::array();
+    for (const version_age& item : digest.versionAges) {
+        ages.push_back(item.model);
+        ages.push_back(item.version);
+        ages.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(item.age).count());
+        ages.push_back(item.isExact);
+    }
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
-                         digest.isPartial, std::move(fetches) }),
+                         digest.isPartial, std::move(fetches), std::move(ages) }),
         bytes);
     return bytes;
 }
@@ -108,6 +115,13 @@
             digest.fetches.push_back({ .store = hashOf(fetches.at(i)),
                 .inTime = integerOf(fetches.at(i + 1), 0, maxRequests),
                 .late = integerOf(fetches.at(i + 2), 0, maxRequests) });
+        constexpr std::size_t agesAt = 6;
+        const json ages = value.size() > agesAt ? value.at(agesAt) : json::array();
+        for (std::size_t i = 0; i + 3 < ages.size(); i += 4)
+            digest.versionAges.push_back({ .model = hashOf(ages.at(i)),
+                .version = weightVersionOf(ages.at(i + 1)),
+                .age = millisecondsOf(ages.at(i + 2)),
+                .isExact = ages.at(i + 3).get<bool>() });
         return digest;
     } catch (const std::exception& error) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -46,7 +46,8 @@
               .failureDomain = m_options.failureDomain,
               .coldFactor = m_options.coldFactor,
               .coldSlack = m_options.coldSlack })
-    , m_chooser(time, m_targets, { .versionLimit = m_options.versionLimit })
+    , m_chooser(
+          time, m_targets, { .versionLimit = m_options.versionLimit, .startGrace = m_options.startGrace })
     , m_probe(loop)
     , m_targetEnds(
           loop, time,
@@ -108,8 +109,10 @@
           { .process = m_options.process,
               .takeFetchOutcomes = [this] { return m_catalog.takeFetchOutcomes(); },
               .fetchOutcomesReceived
-              = [this](
-                    std::span<const fetch_outcomes> outcomes) { m_catalog.recordFetchOutcomes(outcomes); } })
+              = [this](std::span<const fetch_outcomes> outcomes) { m_catalog.recordFetchOutcomes(outcomes); },
+              .versionAges = [this] { return m_chooser.ages(); },
+              .versionAgesReceived
+              = [this](std::span<const version_age> ages) { m_chooser.agesReported(ages); } })
     , m_callers(loop, m_options.callers,
           [this](caller_connection& caller, message_head&& head, std::string&& body) {
               requestReceived(caller, std::move(head), std::move(body));
@@ -363,7 +366,8 @@
     {
         self.m_log.write(
             events::versionNamed, { { "model", named.model }, { "version", std::to_string(named.version) } });
-        self.m_chooser.setWantedVersion(named.model, named.version);
+        self.m_chooser.setWantedVersion(named.model, named.version,
+            self.m_replacing && !self.m_hasSnapshot ? named_at::Unknown : named_at::Now);
         self.m_rollout.setWantedVersion(named.model, named.version);
     }
 
@@ -433,6 +437,7 @@
             targets.push_back(target->id);
     }
     m_replacing = false;
+    m_hasSnapshot = true;
     m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
     m_targets.retainTargets(targets);
     applyExcluded();
