Send nothing more to a target that says in an answer that it leaves

Callers saw nothing yet: the users' new rule DRAIN forbids requests to a target later than DrainMs after a relay has passed on an answer with Server-Leaving, and relays only went by registrations, which may say "ready" for longer or never change.

target_standing keeps what answers said by incarnation (id and start time), apart from the registrations, so that it holds when an entry is refreshed, lapses, is listed again or is removed and comes back. The registry treats such a target as draining, at the head of any answer: also of refusals, failures, 421, late answers to other requests, reports and orders. Marking the expected target by a 421 of another one is harmless, since the expected one isn't there. Idle connections are closed. The field is passed on unchanged; any value but 0 announces, since the field has no other meaning.

When all targets of a service leave, callers are refused at once with the verdict "not run" (reason targets_leaving) instead of waiting for the limit of the queue.

--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -24,9 +24,9 @@
 }
 
 /// Refusal reasons of this process. Reasons that targets report are unbounded in number and counted as one.
-constexpr std::array<std::string_view, 10> ownReasons { "no_target", "targets_busy", "no_service",
+constexpr std::array<std::string_view, 11> ownReasons { "no_target", "targets_busy", "no_service",
     "no_configuration", "no_route", "unknown_key", "time_limit", "stopping", "no_further_target",
-    "part_blocked" };
+    "part_blocked", "targets_leaving" };
 
 std::string reasonLabel(std::string_view reason)
 {
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -127,6 +127,12 @@
             return listening;
     if (auto bound = m_datagrams.bind(m_options.peers); !bound)
         return bound;
+    m_targets.setNoticeObserver({ .leaves = [this](const target_registration& target) {
+        m_log.write(events::targetChanged,
+            { { "target", target.id }, { "service", target.service }, { "change", "leaves" } });
+        m_pool.closeIdle(target.address);
+        m_waitQueue.scheduleDispatch();
+    } });
     m_loadExchange.start();
     m_quarantineExchange.start();
     m_loop.runEvery(housekeepingInterval, [this] { runHousekeeping(); });
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -164,7 +164,7 @@
 
 void relay_session::dispatch()
 {
-    if (refuseBlocked())
+    if (refuseBlocked() || refuseUnwanted())
         return;
     if (!m_services.waitQueue.mustWaitBehind(*this)) {
         const placement found = choose();
@@ -180,7 +180,7 @@
 
 dispatch_result relay_session::tryDispatch()
 {
-    if (refuseBlocked())
+    if (refuseBlocked() || refuseUnwanted())
         return dispatch_result::Dispatched;
     const placement found = choose();
     m_lastChoice = found.outcome;
@@ -203,10 +203,31 @@
     if (m_verdict != base::verdict::NotRun)
         return sendOwnAnswer(http_status::badGateway, {}, "no_further_target");
     const bool busy = m_lastChoice != placement_outcome::NoTarget;
-    sendOwnAnswer(http_status::serviceUnavailable, busy ? busyRetryAfter : unavailableRetryAfter,
+    sendOwnAnswer(http_status::serviceUnavailable, retryAfter(busy ? busyRetryAfter : unavailableRetryAfter),
         busy ? "targets_busy" : "no_target");
 }
 
+bool relay_session::refuseUnwanted()
+{
+    const auto wanted = m_services.targets.nextWanted(m_service->name);
+    if (!wanted || *wanted <= m_waitDeadline)
+        return false;
+    m_isQueued = false;
+    if (m_verdict != base::verdict::NotRun)
+        sendOwnAnswer(http_status::badGateway, {}, "no_further_target");
+    else
+        sendOwnAnswer(http_status::serviceUnavailable, retryAfter(unavailableRetryAfter), "targets_leaving");
+    return true;
+}
+
+base::duration relay_session::retryAfter(base::duration usual) const
+{
+    const auto wanted = m_services.targets.nextWanted(m_service->name);
+    if (!wanted || *wanted == base::time_point::max())
+        return usual;
+    return std::max(usual, *wanted - now());
+}
+
 base::time_point relay_session::fetchDeadline() const
 {
     const target_load wholePrompt { .requests = 1, .prefillTokens = m_request.promptTokens };
--- a/src/libs/relay/relay_session.h
+++ b/src/libs/relay/relay_session.h
@@ -67,6 +67,10 @@
     void dispatch();
     placement choose();
     void rejectUnplaced();
+    /// Ends a request whose service wants none before the end of its wait. Returns true if it has.
+    bool refuseUnwanted();
+    /// Returns \a usual, or the time until a target wants requests again if that is longer.
+    base::duration retryAfter(base::duration usual) const;
     void logDispatch(const target_record& target, std::uint64_t weightVersion) const;
     bool send(target_record& target);
     target_load work() const;
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -31,6 +31,7 @@
 bool relay_session::answerBegins(const message_head& head)
 {
     const target_answer answer = m_services.dialect.readAnswer(head);
+    m_services.targets.noticeReceived(m_target->registration, answer.notice);
     if (answer.attemptId != m_request.attemptId)
         return false;
     m_services.targets.bytesReceived(*m_target);
@@ -165,6 +166,8 @@
         m_services.context.planFinished(m_context, std::nullopt);
     m_services.targets.requestFinished(*m_target, m_work, now() - m_sentAt);
     m_services.waitQueue.scheduleDispatch();
+    if (m_target->leaving)
+        m_services.pool.closeIdle(m_target->registration.address);
     m_target = nullptr;
     m_connection = nullptr;
 }
@@ -201,7 +204,7 @@
         .isCutJson = m_answer == answer_state::Collecting && m_answerHead.framing == body_framing::UntilClose
             && net::isCutJson(m_answerHead.headers, m_collected),
         .stream = m_isEventStream ? &m_boundary : nullptr,
-        .targetIsLeaving = target->removed || target->registration.draining });
+        .targetIsLeaving = target->removed || target->leaving });
     if (end == answer_end::BrokenOff)
         return answerFails({ .verdict = base::verdict::MayHaveRun,
             .reason = base::error_reason::StreamBroken,
@@ -299,7 +302,7 @@
     if (retry)
         return dispatch();
     if (m_verdict == base::verdict::NotRun)
-        return sendOwnAnswer(http_status::serviceUnavailable, busyRetryAfter, failure.message);
+        return sendOwnAnswer(http_status::serviceUnavailable, retryAfter(busyRetryAfter), failure.message);
     sendOwnAnswer(http_status::badGateway, {}, failure.message);
 }
 
--- a/src/libs/relay/target_control.h
+++ b/src/libs/relay/target_control.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay_config.h"
+#include "target_notice.h"
 
 #include <functional>
 #include <map>
@@ -42,12 +43,17 @@
 public:
     template <typename T> using callback = std::function<void(base::result<T>)>;
 
+    /// Called before the result if the answer to a call says something about its target, whatever the result.
+    using notice_handler = std::function<void(const target_notice&)>;
+
     virtual ~target_control() = default;
-    virtual void report(const target_registration& target, callback<target_report> done) = 0;
+    virtual void report(
+        const target_registration& target, notice_handler noticed, callback<target_report> done)
+        = 0;
 
     /// Sends \a order. After an error with `MayHaveRun`, it may still be carried out, even much later.
-    virtual void order(
-        const target_registration& target, const weights_order& order, callback<order_answer> done)
+    virtual void order(const target_registration& target, const weights_order& order, notice_handler noticed,
+        callback<order_answer> done)
         = 0;
 };
 
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -34,6 +34,7 @@
     , m_router(
           m_table, m_random, { .candidates = routing::route_decision::capacity, .samples = 12 }, &m_outliers)
     , m_groups({ .process = m_options.process })
+    , m_standing(time, {})
 {
 }
 
@@ -117,8 +118,7 @@
     if (registration.coldFor > base::duration::zero())
         held->coldUntil = m_clock.now() + registration.coldFor;
     held->index = m_table.put(infoOf(held->registration));
-    m_table.setState(held->index,
-        registration.draining ? routing::target_state::Draining : routing::target_state::Serving);
+    applyStanding(*held);
     if (!isNew)
         return publishLoad(*held);
     m_byIndex.resize(std::max<std::size_t>(m_byIndex.size(), held->index + 1));
@@ -164,6 +164,7 @@
         remove(next->first);
         next = m_missing.erase(next);
     }
+    removeExpiredStanding();
     std::vector<std::string> expired;
     for (const auto& [process, reported] : m_peerLoads)
         if (reported.at + m_options.peerLoadTimeout < m_clock.now())
@@ -222,7 +223,7 @@
 
 bool target_registry::canAccept(target_record& target, const target_load& work) const
 {
-    if (m_clock.now() < target.pausedUntil || !hasCapacity(target, work))
+    if (target.leaving || m_clock.now() < target.pausedUntil || !hasCapacity(target, work))
         return false;
     const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     if (!service)
@@ -460,7 +461,7 @@
 {
     std::map<std::string, int> oldest;
     for (const auto& [id, target] : m_targets) {
-        if (target->registration.draining)
+        if (target->leaving)
             continue;
         for (const auto& [model, version] : target->registration.weightVersions) {
             const auto [known, isNew] = oldest.emplace(model, version);
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -4,6 +4,8 @@
 #include "relay_config.h"
 #include "send_rate_limiter.h"
 #include "sender_groups.h"
+#include "target_notice.h"
+#include "target_standing.h"
 #include "weights_in_use.h"
 #include "wire_dialect.h"
 
@@ -12,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,6 +43,7 @@
     /// Time of the last byte received, or of the first send after an idle period.
     base::time_point lastActivityAt {};
     bool removed = false;
+    bool leaving = false; ///< By its registration or by an answer; gets no more requests.
 };
 
 /// The registered targets and the state that routing needs of each.
@@ -132,6 +136,20 @@
     };
     void setLoadObserver(load_observer observer) { m_observer = std::move(observer); }
 
+    /// Records what an answer of \a target says about it. The registration may have been replaced or removed
+    /// since the request was sent.
+    void noticeReceived(const target_registration& target, const target_notice& notice);
+
+    /// Called when the targets say something new about themselves.
+    struct notice_observer {
+        std::function<void(const target_registration&)> leaves;
+    };
+    void setNoticeObserver(notice_observer observer) { m_noticeObserver = std::move(observer); }
+
+    /// Returns the earliest time at which a target of \a service that this process may send to wants requests
+    /// again, if all of them have said that they want none now: the maximum if all leave.
+    std::optional<base::time_point> nextWanted(std::string_view service) const;
+
     /// Records that \a target has refused a request without running it.
     void refused(target_record& target) { target.pausedUntil = m_clock.now() + m_options.refusalPause; }
 
@@ -217,6 +235,8 @@
     void recordVersions(const target_registration& registration);
     bool hasOldWeights(const target_record& target) const;
     void publishLoad(target_record& target);
+    void applyStanding(target_record& target);
+    void removeExpiredStanding();
     void publishLoads(const std::vector<load_digest::entry>& entries);
     void addPeerLoad(const load_digest::entry& item, bool add);
 
@@ -245,6 +265,8 @@
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Mean tokens of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
     load_observer m_observer;
+    target_standing m_standing;
+    notice_observer m_noticeObserver;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/weights_rollout.cpp
+++ b/src/libs/relay/weights_rollout.cpp
@@ -37,7 +37,7 @@
 
 bool weights_rollout::isOutdated(const target_record& target, std::string* model) const
 {
-    if (target.registration.draining || target.removed)
+    if (target.leaving || target.removed)
         return false;
     for (const auto& [name, version] : target.registration.weightVersions) {
         const auto wanted = m_wantedVersions.find(name);
@@ -121,7 +121,7 @@
 void weights_rollout::requestReport(const std::shared_ptr<target_record>& target, const std::string& model)
 {
     m_progress[target->registration.id].at = load_phase::AwaitingReport;
-    m_control.report(target->registration, [this, target, model](base::result<target_report> report) {
+    const auto reported = [this, target, model](base::result<target_report> report) {
         const auto found = m_progress.find(target->registration.id);
         if (found == m_progress.end())
             return;
@@ -131,7 +131,14 @@
             return;
         }
         reportReceived(target, model, *report);
-    });
+    };
+    m_control.report(target->registration, noticeHandler(target), reported);
+}
+
+target_control::notice_handler weights_rollout::noticeHandler(const std::shared_ptr<target_record>& target)
+{
+    return [this, target](
+               const target_notice& notice) { m_targets.noticeReceived(target->registration, notice); };
 }
 
 void weights_rollout::reportReceived(
@@ -166,8 +173,8 @@
         .holder = m_options.process,
         .token = m_lease.token(),
         .ordersBefore = ordersBefore };
-    m_control.order(
-        target->registration, newOrder, [this, target, newOrder](base::result<order_answer> answer) {
+    m_control.order(target->registration, newOrder, noticeHandler(target),
+        [this, target, newOrder](base::result<order_answer> answer) {
             m_log.write(events::orderSent,
                 { { "target", target->registration.id }, { "model", newOrder.model },
                     { "version", std::to_string(newOrder.version) },
--- a/src/libs/relay/weights_rollout.h
+++ b/src/libs/relay/weights_rollout.h
@@ -51,6 +51,7 @@
     };
 
     void scheduleStep();
+    target_control::notice_handler noticeHandler(const std::shared_ptr<target_record>& target);
     void dropTarget(const std::string& id);
     bool isOutdated(const target_record& target, std::string* model) const;
     std::size_t maxLoading(std::string_view service) const;
--- a/src/libs/relay/wire_dialect.h
+++ b/src/libs/relay/wire_dialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "message_parser.h"
+#include "target_notice.h"
 
 #include <base/base.h>
 
@@ -43,6 +44,7 @@
     /// An intermediary has changed the body, for example by a content encoding.
     bool encoded = false;
     std::optional<int> weightVersion = {};
+    target_notice notice = {};
 };
 
 /// Places from which a target should fetch context and where it should save it, one entry per part of the
--- a/tests/libs/relay/orders_test.cpp
+++ b/tests/libs/relay/orders_test.cpp
@@ -34,6 +34,7 @@
         int version = 1;
         int wanted = 1;
         bool busy = false;
+        bool leaving = false;
         std::uint64_t accepted = 0;
         std::uint64_t highestToken = 0;
     };
@@ -56,18 +57,21 @@
     bool dropAnswers = false;
     base::duration loadTime = std::chrono::milliseconds(900);
 
-    void report(const target_registration& target, callback<target_report> done) override
+    void report(
+        const target_registration& target, notice_handler noticed, callback<target_report> done) override
     {
-        m_timers.runAfter(m_delay, [this, id = target.id, done] {
+        m_timers.runAfter(m_delay, [this, id = target.id, noticed, done] {
             const target_state& state = targets[id];
+            if (state.leaving)
+                noticed({ .leaving = true });
             done(target_report { .weightVersions = { { "m", state.version } },
                 .busy = state.busy,
                 .ordersAccepted = state.accepted });
         });
     }
 
-    void order(
-        const target_registration& target, const weights_order& order, callback<order_answer> done) override
+    void order(const target_registration& target, const weights_order& order, notice_handler,
+        callback<order_answer> done) override
     {
         m_timers.runAfter(m_delay, [this, id = target.id, order, done] {
             const order_answer answer = take(id, order);
@@ -304,3 +308,18 @@
         }
     }));
 }
+
+TEST_CASE("a target that announces its leaving in a report gets no order")
+{
+    // Guards against loads at a target that ends soon.
+    fixture f(1, 3);
+    f.run(std::chrono::seconds(2));
+    f.engines.targets["t1"].leaving = true;
+    f.setWantedVersion(2);
+    f.run(std::chrono::seconds(6));
+    CHECK(f.engines.targets["t0"].version == 2);
+    CHECK(f.engines.targets["t1"].version == 1);
+    CHECK(f.engines.targets["t2"].version == 2);
+    CHECK(f.engines.orders.size() == 2);
+    CHECK(f.processes[0]->targets.targets().at("t1")->leaving);
+}
