Hold requests back from a target that has refused one and asked for time

target_standing keeps the end of the longest pause that an incarnation has asked for, from the head of any 503 with Retry-After, with or without X-Not-Run and also if the answer is discarded. A later, shorter one doesn't shorten it, since each refusal binds by itself. The registry takes a paused target out of the table, so that choices, retries, resumed streams and probes pass it over, also when no other target is left, and puts it back when the pause has passed; the wait queue looks every 10 ms anyway. A request waits if a pause ends within its own limit; if all targets have asked for longer, it is refused at once with "not run" (reason targets_paused) and a Retry-After of at least the time to the first end.

Reports and orders are no requests of callers and must reach the targets within the time limit of new weights, so they are not held back; paused targets get theirs after the others.

An ejected target in a pause kept all other ejected ones from their probes, as one that drains did before: dueProbe now passes over targets that may get none.

With max() left out of requestPause, and with the previous probe, the unit tests failed:

CHECK( standing.pausedUntil(target) == start + std::chrono::seconds(4) ) CHECK( used.contains("t1") ) values: CHECK( false )

--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -43,8 +43,9 @@
 inline constexpr base::event_definition targetChanged { .id = "MB-2005",
     .level = base::log_level::Info,
     .name = "relay_target_changed",
-    .meaning = "A target was added, was removed, drains by its registration or leaves by an answer; fields: "
-               "target, service, change.",
+    .meaning
+    = "A target was added, was removed, drains by its registration, leaves by an answer or has asked for no "
+      "requests for a time; fields: target, service, change, pause_ms.",
     .action = "" };
 
 inline constexpr base::event_definition storeLost { .id = "MB-2006",
--- a/src/libs/relay/relay_metrics.cpp
+++ b/src/libs/relay/relay_metrics.cpp
@@ -24,9 +24,9 @@
 }
 
 /// Refusal reasons of this process. Reasons that targets report are unbounded in number and counted as one.
-constexpr std::array<std::string_view, 11> ownReasons { "no_target", "targets_busy", "no_service",
+constexpr std::array<std::string_view, 12> ownReasons { "no_target", "targets_busy", "no_service",
     "no_configuration", "no_route", "unknown_key", "time_limit", "stopping", "no_further_target",
-    "part_blocked", "targets_leaving" };
+    "part_blocked", "targets_leaving", "targets_paused" };
 
 std::string reasonLabel(std::string_view reason)
 {
@@ -150,10 +150,12 @@
 
 std::string relay_metrics::exposition(const relay_gauges& gauges)
 {
-    const std::array<std::pair<const char*, double>, 12> values { {
+    const std::array<std::pair<const char*, double>, 14> values { {
         { "config_version", static_cast<double>(gauges.configVersion) },
         { "config_age_seconds", std::chrono::duration<double>(gauges.configAge).count() },
         { "targets", static_cast<double>(gauges.targets) },
+        { "leaving_targets", static_cast<double>(gauges.leavingTargets) },
+        { "paused_targets", static_cast<double>(gauges.pausedTargets) },
         { "waiting_requests", static_cast<double>(gauges.waiting) },
         { "open_requests", static_cast<double>(gauges.requests) },
         { "caller_connections", static_cast<double>(gauges.callers) },
--- a/src/libs/relay/relay_metrics.h
+++ b/src/libs/relay/relay_metrics.h
@@ -44,6 +44,8 @@
     std::uint64_t configVersion = 0;
     base::duration configAge { 0 }; ///< Time since the version came into force in this process.
     std::size_t targets = 0;
+    std::size_t leavingTargets = 0; ///< By their registrations or answers.
+    std::size_t pausedTargets = 0; ///< Targets that have asked for no requests for a time.
     std::size_t waiting = 0;
     std::size_t requests = 0;
     std::size_t callers = 0;
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -127,12 +127,21 @@
             return listening;
     if (auto bound = m_datagrams.bind(m_options.peers); !bound)
         return bound;
-    m_targets.setNoticeObserver({ .leaves = [this](const target_registration& target) {
-        m_log.write(events::targetChanged,
-            { { "target", target.id }, { "service", target.service }, { "change", "leaves" } });
-        m_pool.closeIdle(target.address);
-        m_waitQueue.scheduleDispatch();
-    } });
+    m_targets.setNoticeObserver({ .leaves
+        =
+            [this](const target_registration& target) {
+                m_log.write(events::targetChanged,
+                    { { "target", target.id }, { "service", target.service }, { "change", "leaves" } });
+                m_pool.closeIdle(target.address);
+                m_waitQueue.scheduleDispatch();
+            },
+        .pauses =
+            [this](const target_registration& target, base::duration pause) {
+                m_log.write(events::targetChanged,
+                    { { "target", target.id }, { "service", target.service }, { "change", "asks_for_pause" },
+                        { "pause_ms", std::to_string(pause.count() / microsecondsPerMillisecond) } });
+                m_waitQueue.scheduleDispatch();
+            } });
     m_loadExchange.start();
     m_quarantineExchange.start();
     m_loop.runEvery(housekeepingInterval, [this] { runHousekeeping(); });
@@ -181,9 +190,15 @@
 
 void relay_server::answerMetrics(caller_connection& caller)
 {
+    const auto countTargets = [this](const auto& matches) {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            m_targets.targets(), [&](const auto& entry) { return matches(*entry.second); }));
+    };
     const relay_gauges gauges { .configVersion = m_services.config ? m_services.config->version() : 0,
         .configAge = m_services.config ? m_clock.now() - m_configSince : base::duration::zero(),
         .targets = m_targets.targets().size(),
+        .leavingTargets = countTargets([](const target_record& target) { return target.leaving; }),
+        .pausedTargets = countTargets([this](const auto& target) { return m_targets.isPaused(target); }),
         .waiting = m_waitQueue.size(),
         .requests = m_sessions.size(),
         .callers = m_callers.connections(),
--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -171,7 +171,8 @@
         if (found.outcome == placement_outcome::Chosen && send(*found.target))
             return;
         m_lastChoice = found.outcome;
-        if (found.outcome == placement_outcome::NoTarget && !m_tried.empty())
+        if (found.outcome == placement_outcome::NoTarget && !m_tried.empty()
+            && found.pauseEnd > m_waitDeadline)
             return rejectUnplaced();
     }
     m_isQueued = true;
@@ -216,7 +217,8 @@
     if (m_verdict != base::verdict::NotRun)
         sendOwnAnswer(http_status::badGateway, {}, "no_further_target");
     else
-        sendOwnAnswer(http_status::serviceUnavailable, retryAfter(unavailableRetryAfter), "targets_leaving");
+        sendOwnAnswer(http_status::serviceUnavailable, retryAfter(unavailableRetryAfter),
+            *wanted == base::time_point::max() ? "targets_leaving" : "targets_paused");
     return true;
 }
 
--- a/src/libs/relay/target_chooser.cpp
+++ b/src/libs/relay/target_chooser.cpp
@@ -56,6 +56,7 @@
 
 placement target_chooser::choose(const placement_request& request)
 {
+    m_targets.endPauses();
     const bool isPrompt = !request.model.empty();
     const std::string version = requiredVersion(request);
     const routing::route_decision decision = m_targets.router().route(
@@ -70,7 +71,8 @@
             .triedTargets = request.triedTargets },
         m_clock.now());
     if (decision.empty())
-        return { .outcome = placement_outcome::NoTarget };
+        return { .outcome = placement_outcome::NoTarget,
+            .pauseEnd = m_targets.nextPauseEnd(request.service, request.triedTargets) };
     for (const routing::candidate& item : decision.candidates()) {
         target_record* target = m_targets.record(item.target);
         if (target && m_targets.canAccept(*target, request.work))
--- a/src/libs/relay/target_chooser.h
+++ b/src/libs/relay/target_chooser.h
@@ -39,6 +39,8 @@
     placement_outcome outcome = placement_outcome::NoTarget;
     target_record* target = nullptr;
     double firstTokenSeconds = 0; ///< Expected time to the first token.
+    /// If there is no target: when the first untried one that has asked for a pause is available again.
+    base::time_point pauseEnd = base::time_point::max();
 };
 
 /// Chooses the target of a request by expected cost, within the request rate and capacity limits of each
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -223,7 +223,8 @@
 
 bool target_registry::canAccept(target_record& target, const target_load& work) const
 {
-    if (target.leaving || m_clock.now() < target.pausedUntil || !hasCapacity(target, work))
+    if (target.leaving || isPaused(target) || m_clock.now() < target.pausedUntil
+        || !hasCapacity(target, work))
         return false;
     const service_info* service = m_config ? m_config->findService(target.registration.service) : nullptr;
     if (!service)
@@ -403,7 +404,7 @@
         return;
     target_load all = target.own;
     all += target.peers;
-    m_table.setOutOfService(target.index, all.loading > 0 || hasOldWeights(target));
+    m_table.setOutOfService(target.index, all.loading > 0 || hasOldWeights(target) || isPaused(target));
     int running = std::max(all.requests, 0);
     int slots = std::max(target.registration.slots, 1);
     // Memory is exhausted before the slots are, so both are converted to requests of the mean size.
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -30,6 +30,9 @@
     routing::target_index index = routing::noTarget;
     base::time_point coldUntil {};
     base::time_point pausedUntil {}; ///< Has refused a request; gets none until then.
+    /// Has asked for no requests until then; unlike after other refusals, this binds also if no other target
+    /// is left.
+    base::time_point requestedPauseUntil {};
     send_rate_limiter sendLimiter;
     std::uint64_t hash = 0; ///< Hash of the id; identifies the target in digests.
     bool assigned = true; ///< This process may send requests to the target.
@@ -91,7 +94,11 @@
     void removeExpired();
 
     void setConfig(std::shared_ptr<const relay_config> config);
-    void setExcludedDomains(const std::vector<std::string>& domains) { m_table.setExcludedDomains(domains); }
+    void setExcludedDomains(const std::vector<std::string>& domains)
+    {
+        m_excludedDomains = domains;
+        m_table.setExcludedDomains(domains);
+    }
 
     /// Sets the registered processes by id and divides the targets among them.
     void setProcesses(std::span<const std::string_view> processes);
@@ -143,9 +150,21 @@
     /// Called when the targets say something new about themselves.
     struct notice_observer {
         std::function<void(const target_registration&)> leaves;
+        std::function<void(const target_registration&, base::duration)> pauses;
     };
     void setNoticeObserver(notice_observer observer) { m_noticeObserver = std::move(observer); }
 
+    /// Returns true if \a target has asked for no requests and the time has not passed.
+    bool isPaused(const target_record& target) const { return m_clock.now() < target.requestedPauseUntil; }
+
+    /// Makes targets available whose pause has passed.
+    void endPauses();
+
+    /// Returns the earliest end of a pause of a target of \a service that is not in \a tried; the maximum if
+    /// there is none.
+    base::time_point nextPauseEnd(
+        std::string_view service, std::span<const routing::target_index> tried) const;
+
     /// Returns the earliest time at which a target of \a service that this process may send to wants requests
     /// again, if all of them have said that they want none now: the maximum if all leave.
     std::optional<base::time_point> nextWanted(std::string_view service) const;
@@ -237,6 +256,7 @@
     void publishLoad(target_record& target);
     void applyStanding(target_record& target);
     void removeExpiredStanding();
+    bool isExcluded(const target_record& target) const;
     void publishLoads(const std::vector<load_digest::entry>& entries);
     void addPeerLoad(const load_digest::entry& item, bool add);
 
@@ -267,6 +287,8 @@
     load_observer m_observer;
     target_standing m_standing;
     notice_observer m_noticeObserver;
+    base::time_point m_nextPauseEnd = base::time_point::max();
+    std::vector<std::string> m_excludedDomains;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/target_standing.cpp
+++ b/src/libs/relay/target_standing.cpp
@@ -1,5 +1,6 @@
 #include "target_standing.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -45,6 +46,21 @@
     return known && known->leaving;
 }
 
+bool target_standing::requestPause(const target_registration& target, base::duration pause)
+{
+    record& known = recordFor(target);
+    const base::time_point now = m_clock.now();
+    const bool isNew = known.pausedUntil <= now;
+    known.pausedUntil = std::max(known.pausedUntil, now + std::min(pause, m_options.longestPause));
+    return isNew;
+}
+
+base::time_point target_standing::pausedUntil(const target_registration& target) const
+{
+    const record* known = find(target);
+    return known ? known->pausedUntil : base::time_point {};
+}
+
 void target_standing::confirmRegistered(const target_registration& target)
 {
     if (target.startedAtMs != 0 && find(target))
--- a/src/libs/relay/weights_rollout.cpp
+++ b/src/libs/relay/weights_rollout.cpp
@@ -82,8 +82,11 @@
     for (const auto& [id, target] : m_targets.targets())
         byLoad.push_back(target);
     // A target with few requests can load soon, so that new requests are served with the new weights sooner.
-    std::ranges::stable_sort(
-        byLoad, {}, [](const auto& target) { return target->own.requests + target->peers.requests; });
+    // One that has asked for a pause comes last; orders to it don't wait for its end, since other processes
+    // still use it.
+    std::ranges::stable_sort(byLoad, {}, [this](const auto& target) {
+        return std::pair(m_targets.isPaused(*target), target->own.requests + target->peers.requests);
+    });
     std::map<std::string, std::size_t, std::less<>> loading;
     for (const auto& [id, item] : m_progress)
         ++loading[m_targets.targets().find(id)->second->registration.service];
--- a/src/libs/routing/outlier_detector.cpp
+++ b/src/libs/routing/outlier_detector.cpp
@@ -164,12 +164,14 @@
     return target < m_records.size() && m_records[target].ejected;
 }
 
-target_index outlier_detector::dueProbe(base::time_point now) const
+target_index outlier_detector::dueProbe(
+    base::time_point now, const std::function<bool(target_index)>& usable) const
 {
     target_index best = noTarget;
     for (const target_index target : m_ejected) {
         const record& entry = m_records[target];
-        if (entry.nextProbe <= now && (best == noTarget || entry.nextProbe < m_records[best].nextProbe))
+        if (entry.nextProbe <= now && (best == noTarget || entry.nextProbe < m_records[best].nextProbe)
+            && (!usable || usable(target)))
             best = target;
     }
     return best;
--- a/src/libs/routing/outlier_detector.h
+++ b/src/libs/routing/outlier_detector.h
@@ -47,8 +47,9 @@
 
     bool isEjected(target_index target) const;
 
-    /// Returns the ejected target whose probe has been due for longest; `noTarget` if no probe is due.
-    target_index dueProbe(base::time_point now) const;
+    /// Returns the ejected target whose probe has been due for longest, of those that are \a usable;
+    /// `noTarget` if there is none.
+    target_index dueProbe(base::time_point now, const std::function<bool(target_index)>& usable = {}) const;
 
     /// Records that a request is sent to \a target as a probe; `observe` reports its outcome.
     void beginProbe(target_index target, base::time_point now);
--- a/src/libs/routing/router.cpp
+++ b/src/libs/routing/router.cpp
@@ -130,9 +130,11 @@
 
 void router::addProbe(candidate_pool& pool, base::time_point now)
 {
-    const target_index target = m_probes->dueProbe(now);
-    // A probe is still subject to operator decisions, the version and earlier refusals.
-    if (target == noTarget || pool.isFull() || !m_table.isEjected(target) || !m_table.isSameRegion(target))
+    // A probe is still subject to operator decisions, the version and earlier refusals. A target that may get
+    // none for a while must not keep the others from theirs.
+    const target_index target
+        = m_probes->dueProbe(now, [this](target_index ejected) { return m_table.isEjected(ejected); });
+    if (target == noTarget || pool.isFull() || !m_table.isSameRegion(target))
         return;
     const target_info& info = m_table.info(target);
     const route_request& request = pool.request;
--- a/tests/libs/relay/orders_test.cpp
+++ b/tests/libs/relay/orders_test.cpp
@@ -323,3 +323,19 @@
     CHECK(f.engines.orders.size() == 2);
     CHECK(f.processes[0]->targets.targets().at("t1")->leaving);
 }
+
+TEST_CASE("a target that has asked for time gets its order after the others, and in time")
+{
+    // Guards against a pause that keeps a target on old weights, and against orders that ignore it
+    // needlessly.
+    fixture f(1, 3);
+    f.run(std::chrono::seconds(2));
+    target_registry& targets = f.processes[0]->targets;
+    targets.noticeReceived(targets.targets().at("t0")->registration, { .pause = std::chrono::seconds(60) });
+    f.setWantedVersion(2);
+    f.run(std::chrono::milliseconds(500));
+    CHECK(f.engines.targets["t0"].version == 1);
+    CHECK_FALSE(f.engines.targets["t0"].busy);
+    f.run(std::chrono::seconds(6));
+    CHECK(f.allHave(2));
+}
--- a/tests/libs/relay/target_standing_test.cpp
+++ b/tests/libs/relay/target_standing_test.cpp
@@ -194,3 +194,136 @@
         CHECK_FALSE(f.used().contains("t0"));
     }
 }
+
+TEST_CASE("the longest of the pauses that a target has asked for holds, up to a limit")
+{
+    // Guards against a pause that a later refusal shortens, and against a target that is out for a day.
+    base::manual_clock clock;
+    target_standing standing(clock, { .longestPause = std::chrono::minutes(5) });
+    const target_registration target = registration(1, 5);
+    const base::time_point start = clock.now();
+    CHECK(standing.pausedUntil(target) <= start);
+    CHECK(standing.requestPause(target, std::chrono::seconds(4)));
+    CHECK_FALSE(standing.requestPause(target, std::chrono::seconds(1)));
+    CHECK(standing.pausedUntil(target) == start + std::chrono::seconds(4));
+    clock.advance(std::chrono::seconds(2));
+    CHECK_FALSE(standing.requestPause(target, std::chrono::seconds(3)));
+    CHECK(standing.pausedUntil(target) == start + std::chrono::seconds(5));
+    clock.advance(std::chrono::seconds(3));
+    CHECK(standing.requestPause(target, std::chrono::hours(24)));
+    CHECK(standing.pausedUntil(target) == clock.now() + std::chrono::minutes(5));
+    CHECK(standing.pausedUntil(registration(1, 6)) <= start);
+}
+
+TEST_CASE("a target that has asked for time gets requests from its end on, whatever its registration does")
+{
+    // Guards against requests within a pause, and against a target that stays unused after it.
+    CHECK(rc::check([] {
+        fleet f;
+        std::map<std::pair<int, std::uint64_t>, base::time_point> asked;
+        std::map<int, target_registration> last;
+        for (int i = 0; i < 4; ++i)
+            f.targets.put(last[i] = registration(i, 1));
+        const int steps = *rc::gen::inRange(5, 60);
+        for (int step = 0; step < steps; ++step) {
+            const int number = *rc::gen::inRange(0, 4);
+            target_registration& target = last[number];
+            switch (*rc::gen::inRange(0, 7)) {
+            case 0:
+            case 1: {
+                const std::chrono::milliseconds pause(*rc::gen::inRange(1, 400'000));
+                f.targets.noticeReceived(target, { .pause = pause });
+                base::time_point& until = asked[{ number, target.startedAtMs }];
+                const base::duration limit = std::chrono::minutes(5);
+                until = std::max(until, f.clock.now() + std::min<base::duration>(pause, limit));
+                break;
+            }
+            case 2:
+                f.targets.refused(*f.targets.targets().at(target.id));
+                break;
+            case 3:
+                f.targets.remove(target.id);
+                f.targets.put(target);
+                break;
+            case 4:
+                target = registration(number, target.startedAtMs + 1);
+                f.targets.put(target);
+                break;
+            case 5:
+                ++target.slots;
+                f.targets.put(target);
+                break;
+            default:
+                f.clock.advance(std::chrono::milliseconds(*rc::gen::inRange(1, 200'000)));
+                f.targets.removeExpired();
+            }
+            const auto used = f.used();
+            for (const auto& [id, found] : used) {
+                const int index = id.back() - '0';
+                RC_ASSERT(asked[std::pair(index, found.startedAtMs)] <= f.clock.now());
+            }
+            f.clock.advance(std::chrono::milliseconds(300)); // The pause after a plain refusal has passed.
+            bool anyWanted = false;
+            for (const auto& [key, item] : last)
+                anyWanted = anyWanted || asked[std::pair(key, item.startedAtMs)] <= f.clock.now();
+            RC_ASSERT(f.used().empty() == !anyWanted);
+            RC_ASSERT(f.targets.nextWanted(service).has_value() == !anyWanted);
+        }
+    }));
+}
+
+TEST_CASE("the earliest end of the pauses is told when no target wants requests now")
+{
+    // Guards against a caller that is told to come back before any target wants it.
+    fleet f;
+    for (int i = 0; i < 3; ++i)
+        f.targets.put(registration(i, 1));
+    const base::time_point start = f.clock.now();
+    f.targets.noticeReceived(registration(0, 1), { .pause = std::chrono::seconds(4) });
+    f.targets.noticeReceived(registration(1, 1), { .pause = std::chrono::seconds(2) });
+    CHECK_FALSE(f.targets.nextWanted(service));
+    f.targets.noticeReceived(registration(2, 1), { .leaving = true });
+    CHECK(f.targets.nextWanted(service) == start + std::chrono::seconds(2));
+    f.targets.setExcludedDomains({ "d1" });
+    CHECK(f.targets.nextWanted(service) == start + std::chrono::seconds(4));
+    const placement none = f.chooser.choose({ .service = service });
+    CHECK(none.outcome == placement_outcome::NoTarget);
+    CHECK(none.pauseEnd == start + std::chrono::seconds(4));
+    f.clock.advance(std::chrono::seconds(4));
+    CHECK_FALSE(f.targets.nextWanted(service));
+    CHECK(f.used().size() == 1);
+}
+
+TEST_CASE("an ejected target is not probed during its pause")
+{
+    // Guards against probes as a way to a target that wants no requests.
+    fleet f;
+    for (int i = 0; i < 3; ++i)
+        f.targets.put(registration(i, 1));
+    target_record& target = *f.targets.targets().at("t0");
+    for (int i = 0; i < 10; ++i)
+        f.targets.observe(target, true);
+    f.targets.noticeReceived(registration(0, 1), { .pause = std::chrono::seconds(20) });
+    for (int i = 0; i < 39; ++i) {
+        f.clock.advance(std::chrono::milliseconds(500));
+        CHECK_FALSE(f.used().contains("t0"));
+    }
+    f.clock.advance(std::chrono::seconds(1));
+    CHECK(f.used().contains("t0"));
+}
+
+TEST_CASE("an ejected target in a pause does not keep the others from their probes")
+{
+    // Guards against ejected targets that stay unused for the pause of another one.
+    fleet f;
+    for (int i = 0; i < 6; ++i)
+        f.targets.put(registration(i, 1));
+    for (const std::string id : { "t0", "t1" })
+        for (int i = 0; i < 10; ++i)
+            f.targets.observe(*f.targets.targets().at(id), true);
+    f.targets.noticeReceived(registration(0, 1), { .pause = std::chrono::seconds(60) });
+    f.clock.advance(std::chrono::seconds(10));
+    const auto used = f.used();
+    CHECK(used.contains("t1"));
+    CHECK_FALSE(used.contains("t0"));
+}
