--- a/src/libs/relay/relay_session.cpp
+++ b/src/libs/relay/relay_session.cpp
@@ -164,14 +164,15 @@
 
 void relay_session::dispatch()
 {
-    if (refuseBlocked())
+    if (refuseBlocked() || refuseUnwanted())
         return;
     if (!m_services.waitQueue.mustWaitBehind(*this)) {
         const placement found = choose();
         if (found.outcome == placement_outcome::Chosen && send(*found.target))
             return;
         m_lastChoice = found.outcome;
-        if (found.outcome == placement_outcome::NoTarget && !m_tried.empty())
+        if (found.outcome == placement_outcome::NoTarget && !m_tried.empty()
+            && found.pauseEnd > m_waitDeadline)
             return rejectUnplaced();
     }
     m_isQueued = true;
@@ -180,7 +181,7 @@
 
 dispatch_result relay_session::tryDispatch()
 {
-    if (refuseBlocked())
+    if (refuseBlocked() || refuseUnwanted())
         return dispatch_result::Dispatched;
     const placement found = choose();
     m_lastChoice = found.outcome;
@@ -203,10 +204,32 @@
     if (m_verdict != base::verdict::NotRun)
         return sendOwnAnswer(http_status::badGateway, {}, "no_further_target");
     const bool busy = m_lastChoice != placement_outcome::NoTarget;
-    sendOwnAnswer(http_status::serviceUnavailable, busy ? busyRetryAfter : unavailableRetryAfter,
+    sendOwnAnswer(http_status::serviceUnavailable, retryAfter(busy ? busyRetryAfter : unavailableRetryAfter),
         busy ? "targets_busy" : "no_target");
 }
 
+bool relay_session::refuseUnwanted()
+{
+    const auto wanted = m_services.targets.nextWanted(m_service->name);
+    if (!wanted || *wanted <= m_waitDeadline)
+        return false;
+    m_isQueued = false;
+    if (m_verdict != base::verdict::NotRun)
+        sendOwnAnswer(http_status::badGateway, {}, "no_further_target");
+    else
+        sendOwnAnswer(http_status::serviceUnavailable, retryAfter(unavailableRetryAfter),
+            *wanted == base::time_point::max() ? "targets_leaving" : "targets_paused");
+    return true;
+}
+
+base::duration relay_session::retryAfter(base::duration usual) const
+{
+    const auto wanted = m_services.targets.nextWanted(m_service->name);
+    if (!wanted || *wanted == base::time_point::max())
+        return usual;
+    return std::max(usual, *wanted - now());
+}
+
 base::time_point relay_session::fetchDeadline() const
 {
     const target_load wholePrompt { .requests = 1, .prefillTokens = m_request.promptTokens };
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -52,6 +52,7 @@
 bool relay_session::answerBegins(const message_head& head)
 {
     const target_answer answer = m_services.dialect.readAnswer(head);
+    m_services.targets.noticeReceived(m_target->registration, answer.notice);
     if (answer.attemptId != m_request.attemptId)
         return false;
     m_services.targets.bytesReceived(*m_target);
@@ -196,6 +197,8 @@
         m_services.context.planFinished(m_context, std::nullopt);
     m_services.targets.requestFinished(*m_target, m_work, now() - m_sentAt);
     m_services.waitQueue.scheduleDispatch();
+    if (m_target->leaving)
+        m_services.pool.closeIdle(m_target->registration.address);
     m_target = nullptr;
     m_connection = nullptr;
 }
@@ -255,7 +258,7 @@
 void relay_session::endChecked(target_presence found)
 {
     m_isCheckingEnd = false;
-    const bool isLeaving = m_target->removed || m_target->registration.draining;
+    const bool isLeaving = m_target->removed || m_target->leaving;
     if (isComplete(found, isLeaving))
         return completeAnswer();
     // The planned end of a target is no evidence against the parts of the prompt.
@@ -336,7 +339,7 @@
     if (retry)
         return dispatch();
     if (m_verdict == base::verdict::NotRun)
-        return sendOwnAnswer(http_status::serviceUnavailable, busyRetryAfter, failure.message);
+        return sendOwnAnswer(http_status::serviceUnavailable, retryAfter(busyRetryAfter), failure.message);
     sendOwnAnswer(http_status::badGateway, {}, failure.message);
 }
 
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -4,6 +4,8 @@
 #include "relay_config.h"
 #include "send_rate_limiter.h"
 #include "sender_groups.h"
+#include "target_notice.h"
+#include "target_standing.h"
 #include "weights_in_use.h"
 #include "wire_dialect.h"
 
@@ -12,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +30,9 @@
     routing::target_index index = routing::noTarget;
     base::time_point coldUntil {};
     base::time_point pausedUntil {}; ///< Has refused a request; gets none until then.
+    /// Has asked for no requests until then; unlike after other refusals, this binds also if no other target
+    /// is left.
+    base::time_point requestedPauseUntil {};
     send_rate_limiter sendLimiter;
     std::uint64_t hash = 0; ///< Hash of the id; identifies the target in digests.
     bool assigned = true; ///< This process may send requests to the target.
@@ -40,6 +46,7 @@
     /// Time of the last byte received, or of the first send after an idle period.
     base::time_point lastActivityAt {};
     bool removed = false;
+    bool leaving = false; ///< By its registration or by an answer; gets no more requests.
 };
 
 /// The registered targets and the state that routing needs of each.
@@ -87,7 +94,11 @@
     void removeExpired();
 
     void setConfig(std::shared_ptr<const relay_config> config);
-    void setExcludedDomains(const std::vector<std::string>& domains) { m_table.setExcludedDomains(domains); }
+    void setExcludedDomains(const std::vector<std::string>& domains)
+    {
+        m_excludedDomains = domains;
+        m_table.setExcludedDomains(domains);
+    }
 
     /// Sets the registered processes by id and divides the targets among them.
     void setProcesses(std::span<const std::string_view> processes);
@@ -132,6 +143,32 @@
     };
     void setLoadObserver(load_observer observer) { m_observer = std::move(observer); }
 
+    /// Records what an answer of \a target says about it. The registration may have been replaced or removed
+    /// since the request was sent.
+    void noticeReceived(const target_registration& target, const target_notice& notice);
+
+    /// Called when the targets say something new about themselves.
+    struct notice_observer {
+        std::function<void(const target_registration&)> leaves;
+        std::function<void(const target_registration&, base::duration)> pauses;
+    };
+    void setNoticeObserver(notice_observer observer) { m_noticeObserver = std::move(observer); }
+
+    /// Returns true if \a target has asked for no requests and the time has not passed.
+    bool isPaused(const target_record& target) const { return m_clock.now() < target.requestedPauseUntil; }
+
+    /// Makes targets available whose pause has passed.
+    void endPauses();
+
+    /// Returns the earliest end of a pause of a target of \a service that is not in \a tried; the maximum if
+    /// there is none.
+    base::time_point nextPauseEnd(
+        std::string_view service, std::span<const routing::target_index> tried) const;
+
+    /// Returns the earliest time at which a target of \a service that this process may send to wants requests
+    /// again, if all of them have said that they want none now: the maximum if all leave.
+    std::optional<base::time_point> nextWanted(std::string_view service) const;
+
     /// Records that \a target has refused a request without running it.
     void refused(target_record& target) { target.pausedUntil = m_clock.now() + m_options.refusalPause; }
 
@@ -217,6 +254,9 @@
     void recordVersions(const target_registration& registration);
     bool hasOldWeights(const target_record& target) const;
     void publishLoad(target_record& target);
+    void applyStanding(target_record& target);
+    void removeExpiredStanding();
+    bool isExcluded(const target_record& target) const;
     void publishLoads(const std::vector<load_digest::entry>& entries);
     void addPeerLoad(const load_digest::entry& item, bool add);
 
@@ -245,6 +285,10 @@
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Mean tokens of a request, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
     load_observer m_observer;
+    target_standing m_standing;
+    notice_observer m_noticeObserver;
+    base::time_point m_nextPauseEnd = base::time_point::max();
+    std::vector<std::string> m_excludedDomains;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/weights_rollout.cpp
+++ b/src/libs/relay/weights_rollout.cpp
@@ -37,7 +37,7 @@
 
 bool weights_rollout::isOutdated(const target_record& target, std::string* model) const
 {
-    if (target.registration.draining || target.removed)
+    if (target.leaving || target.removed)
         return false;
     for (const auto& [name, version] : target.registration.weightVersions) {
         const auto wanted = m_wantedVersions.find(name);
@@ -82,8 +82,11 @@
     for (const auto& [id, target] : m_targets.targets())
         byLoad.push_back(target);
     // A target with few requests can load soon, so that new requests are served with the new weights sooner.
-    std::ranges::stable_sort(
-        byLoad, {}, [](const auto& target) { return target->own.requests + target->peers.requests; });
+    // One that has asked for a pause comes last; orders to it don't wait for its end, since other processes
+    // still use it.
+    std::ranges::stable_sort(byLoad, {}, [this](const auto& target) {
+        return std::pair(m_targets.isPaused(*target), target->own.requests + target->peers.requests);
+    });
     std::map<std::string, std::size_t, std::less<>> loading;
     for (const auto& [id, item] : m_progress)
         ++loading[m_targets.targets().find(id)->second->registration.service];
@@ -121,7 +124,7 @@
 void weights_rollout::requestReport(const std::shared_ptr<target_record>& target, const std::string& model)
 {
     m_progress[target->registration.id].at = load_phase::AwaitingReport;
-    m_control.report(target->registration, [this, target, model](base::result<target_report> report) {
+    const auto reported = [this, target, model](base::result<target_report> report) {
         const auto found = m_progress.find(target->registration.id);
         if (found == m_progress.end())
             return;
@@ -131,7 +134,14 @@
             return;
         }
         reportReceived(target, model, *report);
-    });
+    };
+    m_control.report(target->registration, noticeHandler(target), reported);
+}
+
+target_control::notice_handler weights_rollout::noticeHandler(const std::shared_ptr<target_record>& target)
+{
+    return [this, target](
+               const target_notice& notice) { m_targets.noticeReceived(target->registration, notice); };
 }
 
 void weights_rollout::reportReceived(
@@ -166,8 +176,8 @@
         .holder = m_options.process,
         .token = m_lease.token(),
         .ordersBefore = ordersBefore };
-    m_control.order(
-        target->registration, newOrder, [this, target, newOrder](base::result<order_answer> answer) {
+    m_control.order(target->registration, newOrder, noticeHandler(target),
+        [this, target, newOrder](base::result<order_answer> answer) {
             m_log.write(events::orderSent,
                 { { "target", target->registration.id }, { "model", newOrder.model },
                     { "version", std::to_string(newOrder.version) },
