Stop using a store that has restarted as soon as one relay knows

Cause: a query for events that waits when its store restarts gets no reply and ends by its time limit, 1.7 s. Meanwhile the relay trusted its catalog for up to 2.2 s. Where all relays query a store, none told the others of a new epoch, and a digest with one was ignored while a query was in flight. The relay that knew let targets save the parts again.

Change: - A relay that learns of an epoch from the store tells all that query it. They suspend the store, drop the query in flight and ask anew; only the store's own reply changes the epoch of a relay that queries it. Epochs that the store has replaced are remembered, so that a late digest with one of them changes nothing. - Nothing is saved to a store for 3.2 s after a new epoch, since a relay that hears of it from nobody may trust what it knew for 2.2 s and its last fetch takes 1 s. That holds without any datagram. - A store whose reply is overdue by 0.3 s is suspended until it replies; its entries are kept.

What remains: a save that was ordered before the restart and begins after it, of a part that another relay has heard of and the one that ordered it has not, until both know of the restart. Fetches of routes with a latency goal beyond 1 s may take longer than the 1 s that is allowed for. A relay that has just started saves nothing for 3.2 s as well.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -102,6 +102,7 @@
     if (batch.epoch != store.epoch || batch.lost)
         clear(store, address.text(), batch.epoch);
     store.lastReceivedAt = m_clock.now();
+    store.suspended = false;
     for (const context_event& event : batch.events)
         applyEvent(store, event);
 }
@@ -112,6 +113,23 @@
         clear(found->second, address.text(), found->second.epoch);
 }
 
+void context_catalog::suspend(const net::endpoint& address)
+{
+    if (const auto found = m_stores.find(address.text()); found != m_stores.end())
+        found->second.suspended = true;
+}
+
+void context_catalog::delaySaves(const net::endpoint& address, base::duration delay)
+{
+    if (const auto found = m_stores.find(address.text()); found != m_stores.end())
+        found->second.savesFrom = m_clock.now() + delay;
+}
+
+bool context_catalog::isUsable(const store_record& store) const
+{
+    return !store.suspended && m_clock.now() - store.lastReceivedAt <= m_options.maxAge;
+}
+
 void context_catalog::replaceParts(const net::endpoint& address, const context_event_batch& held)
 {
     const auto found = m_stores.find(address.text());
@@ -119,6 +137,7 @@
         return;
     clear(found->second, address.text(), held.epoch);
     found->second.lastReceivedAt = m_clock.now();
+    found->second.suspended = false;
     for (const context_event& part : held.events)
         applyEvent(found->second, part);
 }
@@ -155,7 +174,7 @@
         cached_part* held = nullptr;
         store_record* holder = nullptr;
         for (store_record* owner : owners) {
-            if (held || !owner || now - owner->lastReceivedAt > m_options.maxAge)
+            if (held || !owner || !isUsable(*owner))
                 continue;
             held = findComplete(*owner, key, parts[i].tokens);
             holder = held ? owner : nullptr;
@@ -187,7 +206,7 @@
         if (pendingSave != m_pendingSaves.end() && pendingSave->second.at + m_options.saveTimeout > now)
             continue;
         const auto saveTarget = std::ranges::find_if(owners, [&](const store_record* owner) {
-            return owner && now - owner->lastReceivedAt <= m_options.maxAge
+            return owner && isUsable(*owner) && now >= owner->savesFrom
                 && hasCapacity(*owner, parts[i].tokens);
         });
         if (saveTarget != owners.end())
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -75,6 +75,15 @@
     /// Removes all entries of the store at \a address, which may have restarted.
     void invalidate(const net::endpoint& address);
 
+    /// Uses the store at \a address neither for fetches nor for saves until its next reply is applied, since
+    /// it may have restarted.
+    void suspend(const net::endpoint& address);
+
+    /// Saves nothing to the store at \a address for \a delay.
+    void delaySaves(const net::endpoint& address, base::duration delay);
+
+    base::duration maxAge() const { return m_options.maxAge; }
+
     /// The parts to fetch and save for a prompt. Only the shared parts are cached, which are all but the
     /// last.
     struct transfer_plan {
@@ -132,6 +141,8 @@
         context_store_info info;
         std::uint64_t epoch = 0;
         base::time_point lastReceivedAt {};
+        bool suspended = false; ///< Not used until the next reply.
+        base::time_point savesFrom {}; ///< Nothing is saved before.
         std::int64_t tokens = 0;
         transfer_window window;
         fetch_throttle throttle;
@@ -145,6 +156,7 @@
     };
 
     base::duration transferTime(const store_record& store, int tokens) const;
+    bool isUsable(const store_record& store) const;
     /// Returns the stores that may hold a part, best first; null where there are fewer.
     std::array<store_record*, 2> ownersOf(std::string_view partId);
     bool hasCapacity(const store_record& store, int tokens) const;
--- a/src/libs/relay/context_event_distributor.cpp
+++ b/src/libs/relay/context_event_distributor.cpp
@@ -72,4 +72,17 @@
     }
 }
 
+void context_event_distributor::announceEpoch(
+    const net::endpoint& store, int maxConcurrentQueries, std::uint64_t epoch) const
+{
+    const auto readers = readersOf(store.text(), maxConcurrentQueries);
+    const std::string datagram
+        = encode({ .process = m_options.process, .store = store.text(), .batch = { .epoch = epoch } });
+    for (const auto& [process, address] : m_processes) {
+        const bool isReader = readers.empty() || std::ranges::find(readers, process) != readers.end();
+        if (isReader && process != m_options.process)
+            m_send(address, datagram);
+    }
+}
+
 } // namespace marigold::relay
--- a/src/libs/relay/context_event_distributor.h
+++ b/src/libs/relay/context_event_distributor.h
@@ -49,6 +49,10 @@
     void distribute(const net::endpoint& store, int maxConcurrentQueries, std::uint64_t since, bool isList,
         const context_event_batch& batch) const;
 
+    /// Tells the other processes that query \a store that it has \a epoch. A query of theirs that was waiting
+    /// when the store restarted may get no reply.
+    void announceEpoch(const net::endpoint& store, int maxConcurrentQueries, std::uint64_t epoch) const;
+
 private:
     /// Returns the ids of the readers; empty if every process queries the store.
     std::vector<std::string_view> readersOf(std::string_view store, int maxConcurrentQueries) const;
--- a/src/libs/relay/context_follower.h
+++ b/src/libs/relay/context_follower.h
@@ -50,6 +50,11 @@
         base::duration shortPollWait = std::chrono::milliseconds(200);
         /// Time that a reply may take beyond the wait of the query.
         base::duration replyGrace = std::chrono::milliseconds(700);
+        /// Time that a reply usually takes beyond the wait of the query. A store that takes longer may have
+        /// restarted, after which a query that was waiting gets no reply.
+        base::duration overdueAfter = std::chrono::milliseconds(300);
+        /// Longest fetch of a request.
+        base::duration maxFetchTime = std::chrono::milliseconds(1000);
     };
 
     context_follower(context_catalog& catalog, context_source& source, context_event_distributor& distributor,
@@ -70,7 +75,10 @@
         std::uint64_t epoch = 0;
         base::time_point lastUpdateAt {};
         int nextListChunk = 0; ///< Next expected chunk of a list; 0 if none.
+        std::vector<std::uint64_t> formerEpochs = {}; ///< Those that the store has told before, latest last.
+        std::uint64_t query = 0; ///< Number of the query in flight; replies to earlier ones are ignored.
         bool queryInFlight = false;
+        std::uint64_t suspectedEpoch = 0; ///< Epoch that the query in flight is to verify; 0 for none.
         std::uint64_t pollGeneration = 0; ///< Identifies the scheduled poll; earlier ones are ignored.
     };
 
@@ -79,6 +87,19 @@
     void schedulePoll(const std::string& key, base::duration delay);
     void queryEvents(const std::string& key, base::duration waitLimit);
     void queryList(const std::string& key);
+    static std::uint64_t beginQuery(followed_store& store);
+    /// Returns the store if the query \a number is still in flight, and ends it; else null.
+    followed_store* endQuery(const std::string& key, std::uint64_t number);
+    /// Ignores the reply to the query in flight.
+    static void abandonQuery(followed_store& store);
+    void checkOverdue(const std::string& key, std::uint64_t number);
+    /// Uses \a store no more until it has replied to a new query, since a process has told that it has \a
+    /// epoch.
+    void verifyEpoch(followed_store& store, std::uint64_t epoch);
+    /// Records that the content of \a store is that of \a epoch.
+    void setEpoch(followed_store& store, std::uint64_t epoch);
+    /// Records \a epoch as told by \a store itself.
+    void epochReceived(followed_store& store, std::uint64_t epoch);
 
     context_catalog& m_catalog;
     context_source& m_source;
--- a/tests/libs/relay/fake_context_store.h
+++ b/tests/libs/relay/fake_context_store.h
@@ -30,6 +30,8 @@
     int queries = 0;
     int refused = 0;
     int lists = 0;
+    /// Queries that wait when the store restarts get no reply and fail by their time limit.
+    bool losesWaitingQueries = false;
 
     void change(const std::string& part, int tokens)
     {
@@ -48,7 +50,10 @@
         parts.clear();
         m_events.clear();
         ++m_epoch;
+        if (losesWaitingQueries)
+            m_waiting = 0;
     }
+    std::uint64_t epoch() const { return m_epoch; }
 
     void events(const net::endpoint&, std::uint64_t since, base::duration waitLimit,
         callback<relay::context_event_batch> done) override
@@ -61,7 +66,7 @@
             return;
         }
         ++m_waiting;
-        poll(since, waitLimit, std::move(done));
+        poll(since, waitLimit, m_epoch, std::move(done));
     }
     void list(const net::endpoint&, callback<relay::context_event_batch> done) override
     {
@@ -79,13 +84,20 @@
     }
 
 private:
-    void poll(std::uint64_t since, base::duration waitLimit, callback<relay::context_event_batch> done)
+    void poll(std::uint64_t since, base::duration waitLimit, std::uint64_t epoch,
+        callback<relay::context_event_batch> done)
     {
+        if (losesWaitingQueries && epoch != m_epoch) {
+            constexpr base::duration replyLimit = std::chrono::milliseconds(700);
+            m_timers.runAfter(waitLimit + replyLimit,
+                [done] { done(base::mayHaveRun(base::error_reason::DeadlineExceeded, "no reply")); });
+            return;
+        }
         const bool isNew = since != m_events.size();
         if (!unreachable && !isNew && waitLimit > base::duration::zero()) {
             constexpr base::duration step = std::chrono::milliseconds(20);
-            m_timers.runAfter(
-                step, [this, since, left = waitLimit - step, done] { poll(since, left, done); });
+            m_timers.runAfter(step,
+                [this, since, left = waitLimit - step, epoch, done] { poll(since, left, epoch, done); });
             return;
         }
         const std::uint64_t last = m_events.size();
