Let no relay fetch context after the others may free it

Cause: a relay that is cut off from the platform's store went on to start requests on older weights that fetch their context. The others took this context as unused 2.5 s after its registration had lapsed, and freed it 1.5 s later.

Change: - A relay fetches only while the store had its registration, or all relays that it knows counted it, within 3.5 s. Both count from the sending of its own call or digest: digests confirm the last one of their receiver, so neither a pause of the process nor datagrams that are read late prolong the time. It is checked before each send. A relay that may not fetch goes on serving, and the targets compute the prompts. - The others count a relay for one more second (3.5 s after its registration lapsed, then 1.5 s until the first part is freed), also if the store ends the registration early. A static_assert holds 3.5 + 1 (fetch) + 0.5 s to that. - While the store is down for all, the relays confirm each other, so nothing is computed again. - A relay frees nothing in its first 5 s, as it may never have known of one that is cut off. A new registration serves for fetches after 2 s, or when all others have confirmed it. A failed renewal is repeated after 0.7 s instead of 2 s.

What remains: a relay that starts while all relays that it does not know are cut off, and is in touch itself, may free after 5 s what they still confirm to each other. Beyond some 250 relays confirmations between relays that share no target take longer than 3.5 s, so that fetches stop in a longer outage of the store. Fetches of routes with a latency goal beyond 1 s may take longer than 1 s. Context is also freed 1.5 s after all registered targets have newer weights, whoever uses it; a target that is cut off 1.5 s or more before the relay is not covered. The monotonic clock stands still while a whole VM is suspended.

Tests: the fixture of context_reclaimer_test runs 5 s longer before its cases, for the delay after the start; load_exchange takes a clock. No check was changed.

--- a/src/libs/relay/context_catalog.cpp
+++ b/src/libs/relay/context_catalog.cpp
@@ -19,7 +19,7 @@
 
 context_catalog::context_catalog(const base::clock& time, options opts)
     : m_clock(time)
-    , m_options(opts)
+    , m_options(std::move(opts))
 {
 }
 
@@ -166,6 +166,7 @@
     if (m_stores.empty() || parts.size() < 2)
         return out;
     const base::time_point now = m_clock.now();
+    const bool mayFetch = !m_options.mayFetch || m_options.mayFetch();
     bool inPrefix = true;
     base::duration longest { 0 };
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
@@ -179,7 +180,7 @@
             held = findComplete(*owner, key, parts[i].tokens);
             holder = held ? owner : nullptr;
         }
-        if (holder && !holder->throttle.admits(parts[i].id, now)) {
+        if (holder && (!mayFetch || !holder->throttle.admits(parts[i].id, now))) {
             inPrefix = false;
             continue;
         }
--- a/src/libs/relay/context_catalog.h
+++ b/src/libs/relay/context_catalog.h
@@ -59,6 +59,9 @@
         base::duration maxAge = std::chrono::milliseconds(2200);
         /// Share of a store that is filled. The rest is reserved for saves whose size is known late.
         double maxFillShare = 0.97;
+        /// Returns false while the other processes may no longer know of this one and free context that its
+        /// requests would fetch; may be empty.
+        std::function<bool()> mayFetch = {};
     };
 
     context_catalog(const base::clock& time, options opts);
--- a/src/libs/relay/context_reclaimer.cpp
+++ b/src/libs/relay/context_reclaimer.cpp
@@ -31,14 +31,17 @@
 
 void context_reclaimer::sweep()
 {
-    for (const auto& [model, oldestLoaded] : m_targets.oldestVersions()) {
+    const std::map<std::string, int> oldestVersions = m_targets.oldestVersions();
+    if (m_startedAt == base::time_point {} && !oldestVersions.empty())
+        m_startedAt = m_clock.now();
+    for (const auto& [model, oldestLoaded] : oldestVersions) {
         const int version = std::max(oldestLoaded, m_targets.oldestVersionInUse(model));
         auto& complete = m_completeSince[model];
         complete.emplace(version, m_clock.now());
         // If a target with older weights has joined, newer versions are no longer complete.
         complete.erase(complete.upper_bound(version), complete.end());
     }
-    if (!m_lease.mayOrder())
+    if (!m_lease.mayOrder() || m_clock.now() - m_startedAt < m_options.startDelay)
         return;
     for (const net::endpoint& store : m_catalog.addresses()) {
         const std::vector<context_key> keys
--- a/src/libs/relay/context_reclaimer.h
+++ b/src/libs/relay/context_reclaimer.h
@@ -18,6 +18,9 @@
         /// Delay before context of replaced weights is freed once no process uses them any more or all
         /// targets have newer ones: the last request on older weights may still be fetching.
         base::duration freeDelay = std::chrono::milliseconds(1500);
+        /// Time after the first targets are known in which nothing is freed: a process that this one has
+        /// never known may run and be cut off.
+        base::duration startDelay = std::chrono::milliseconds(5000);
         std::size_t maxPartsPerCall = 200;
     };
 
@@ -39,6 +42,7 @@
     const base::clock& m_clock;
     const base::event_log& m_log;
     options m_options;
+    base::time_point m_startedAt {}; ///< Time when the first targets were known; zero before.
     /// For each model, the versions that all targets have reached or all processes use, and since when.
     std::map<std::string, std::map<int, base::time_point>, std::less<>> m_completeSince;
 };
--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -55,7 +55,7 @@
         versions.push_back(version);
     }
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
-                         digest.isPartial, std::move(fetches) }),
+                         digest.isPartial, std::move(fetches), digest.lastReceived }),
         bytes);
     return bytes;
 }
@@ -86,6 +86,9 @@
         for (std::size_t i = 0; i + 2 < fetches.size(); i += 3)
             digest.fetches.push_back(
                 { .store = fetches.at(i), .inTime = fetches.at(i + 1), .late = fetches.at(i + 2) });
+        constexpr std::size_t lastReceivedAt = 6;
+        if (value.size() > lastReceivedAt)
+            digest.lastReceived = value.at(lastReceivedAt);
         return digest;
     } catch (const json::exception& error) {
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -38,6 +38,7 @@
     bool isPartial = false; ///< Lists only targets whose load has just changed; the others are as before.
     /// Oldest weight version on which the process still starts requests, by the hash of the model.
     std::map<std::uint64_t, int> oldestInUse = {};
+    std::uint64_t lastReceived = 0; ///< Sequence number of the receiver's last digest; 0 if none.
 };
 
 /// First byte of each datagram with a load digest; distinguishes it from other datagrams of the relays.
--- a/src/libs/relay/load_exchange.cpp
+++ b/src/libs/relay/load_exchange.cpp
@@ -4,9 +4,11 @@
 
 namespace marigold::relay {
 
-load_exchange::load_exchange(target_registry& targets, base::scheduler& timers, sender send, options opts)
+load_exchange::load_exchange(
+    target_registry& targets, base::scheduler& timers, const base::clock& time, sender send, options opts)
     : m_targets(targets)
     , m_timers(timers)
+    , m_clock(time)
     , m_send(std::move(send))
     , m_options(std::move(opts))
 {
@@ -37,6 +39,7 @@
     m_peers = std::move(peers);
     m_peers.erase(m_options.process);
     std::erase_if(m_lastSequence, [&](const auto& entry) { return !m_peers.contains(entry.first); });
+    std::erase_if(m_confirmed, [&](const auto& entry) { return !m_peers.contains(entry.first); });
     m_targets.retainPeers(m_peers);
     m_groupPeers.clear();
     m_otherPeers.clear();
@@ -60,12 +63,32 @@
     return entries;
 }
 
-void load_exchange::sendTo(const net::endpoint& address, load_digest digest)
+void load_exchange::beginRound()
+{
+    constexpr base::duration retention = std::chrono::seconds(10);
+    const base::time_point now = m_clock.now();
+    m_rounds.push_back({ .sequence = ++m_sequence, .sentAt = now });
+    while (now - m_rounds.front().sentAt > retention)
+        m_rounds.pop_front();
+}
+
+bool load_exchange::isKnownToAll(base::duration maxAge) const
+{
+    const base::time_point now = m_clock.now();
+    return !m_peers.empty() && std::ranges::all_of(m_peers, [&](const auto& peer) {
+        const auto confirmed = m_confirmed.find(peer.first);
+        return confirmed != m_confirmed.end() && now - confirmed->second < maxAge;
+    });
+}
+
+void load_exchange::sendTo(const std::string& peer, load_digest digest)
 {
     digest.process = m_options.process;
     digest.sequence = m_sequence;
     digest.oldestInUse = m_targets.weightsInUse().own();
-    m_send(address, encode(digest));
+    const auto last = m_lastSequence.find(peer);
+    digest.lastReceived = last == m_lastSequence.end() ? 0 : last->second;
+    m_send(m_peers.at(peer), encode(digest));
 }
 
 void load_exchange::loadingChanged(const target_record& target)
@@ -90,14 +113,14 @@
 
 void load_exchange::publishChanged()
 {
-    ++m_sequence;
+    beginRound();
     std::vector<target_registry::own_load> loads;
     for (const std::string& id : std::exchange(m_changed, {}))
         if (const auto target = m_targets.targets().find(id); target != m_targets.targets().end())
             loads.push_back(m_targets.ownLoad(*target->second));
     for (const std::string& id : m_groupPeers)
         if (auto entries = entriesFor(id, loads); !entries.empty())
-            sendTo(m_peers.at(id), { .entries = std::move(entries), .isPartial = true });
+            sendTo(id, { .entries = std::move(entries), .isPartial = true });
     m_timers.runAfter(m_options.partialInterval, [this] {
         m_changedScheduled = false;
         if (!m_changed.empty()) {
@@ -110,11 +133,11 @@
 void load_exchange::publishUrgent()
 {
     const std::set<std::string> peers = std::exchange(m_urgentPeers, {});
-    ++m_sequence;
+    beginRound();
     const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
     for (const std::string& id : peers)
-        if (const auto peer = m_peers.find(id); peer != m_peers.end())
-            sendTo(peer->second, { .entries = entriesFor(id, loads) });
+        if (m_peers.contains(id))
+            sendTo(id, { .entries = entriesFor(id, loads) });
     m_timers.runAfter(roundTime(peers.size(), m_options.maxUrgentDatagramsPerSecond), [this] {
         m_urgentScheduled = false;
         if (!m_urgentPeers.empty()) {
@@ -126,19 +149,19 @@
 
 void load_exchange::publish()
 {
-    ++m_sequence;
+    beginRound();
     const std::vector<target_registry::own_load> loads = m_targets.ownLoads();
     const std::vector<fetch_outcomes> fetches
         = m_options.takeFetchOutcomes ? m_options.takeFetchOutcomes() : std::vector<fetch_outcomes> {};
     for (const std::string& id : m_groupPeers)
-        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads), .fetches = fetches });
+        sendTo(id, { .entries = entriesFor(id, loads), .fetches = fetches });
     const base::duration interval = publishInterval();
     m_otherCredit = std::min(static_cast<double>(m_otherPeers.size()),
         m_otherCredit
             + m_options.maxOtherDatagramsPerSecond * std::chrono::duration<double>(interval).count());
     for (; m_otherCredit >= 1; --m_otherCredit) {
         const std::string& id = m_otherPeers[m_nextOther++ % m_otherPeers.size()];
-        sendTo(m_peers.at(id), { .entries = entriesFor(id, loads) });
+        sendTo(id, { .entries = entriesFor(id, loads) });
     }
     m_timers.runAfter(interval, [this] { publish(); });
 }
@@ -152,6 +175,10 @@
     if (digest->sequence <= last)
         return;
     last = digest->sequence;
+    // Counts from the sending, so that datagrams that are read late prove nothing.
+    const auto confirmed = std::ranges::lower_bound(m_rounds, digest->lastReceived, {}, &round::sequence);
+    if (confirmed != m_rounds.end() && confirmed->sequence == digest->lastReceived)
+        m_confirmed[digest->process] = confirmed->sentAt;
     if (digest->isPartial)
         m_targets.updatePeerLoad(digest->process, digest->entries);
     else
--- a/src/libs/relay/load_exchange.h
+++ b/src/libs/relay/load_exchange.h
@@ -5,6 +5,7 @@
 #include <base/base.h>
 #include <net/http_types.h>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -42,13 +43,18 @@
 
     using sender = std::function<void(const net::endpoint& to, std::string_view bytes)>;
 
-    load_exchange(target_registry& targets, base::scheduler& timers, sender send, options opts);
+    load_exchange(target_registry& targets, base::scheduler& timers, const base::clock& time, sender send,
+        options opts);
 
     void start();
 
     /// Sets the addresses of the other processes, by id.
     void setPeers(std::map<std::string, net::endpoint> peers);
 
+    /// Returns true if there are peers and each has accepted a digest that this process sent no longer than
+    /// \a maxAge ago, and so counted this process as registered then.
+    bool isKnownToAll(base::duration maxAge) const;
+
     /// Handles a datagram of a peer.
     void received(std::string_view bytes);
 
@@ -60,15 +66,22 @@
     void publishChanged();
     std::vector<load_digest::entry> entriesFor(
         std::string_view peer, std::span<const target_registry::own_load> loads) const;
-    void sendTo(const net::endpoint& address, load_digest digest);
+    void sendTo(const std::string& peer, load_digest digest);
+    void beginRound();
     base::duration publishInterval() const;
     static base::duration roundTime(std::size_t datagramsPerRound, double perSecond);
 
     target_registry& m_targets;
     base::scheduler& m_timers;
+    const base::clock& m_clock;
     sender m_send;
     options m_options;
     std::uint64_t m_sequence = 0;
+    struct round {
+        std::uint64_t sequence = 0;
+        base::time_point sentAt {};
+    };
+    std::deque<round> m_rounds; ///< The latest ones, oldest first.
     std::set<std::string> m_urgentPeers; ///< Share a target that has begun or ended to load.
     bool m_urgentScheduled = false;
     std::set<std::string> m_changed; ///< Ids of targets to which requests were sent since the last digest.
@@ -79,6 +92,8 @@
     std::size_t m_nextOther = 0; ///< Next of `m_otherPeers` to which a digest is due.
     double m_otherCredit = 0; ///< Digests that may be sent to `m_otherPeers`, as a fraction.
     std::map<std::string, std::uint64_t, std::less<>> m_lastSequence;
+    /// Time of sending of the last digest that a peer has confirmed, by peer.
+    std::map<std::string, base::time_point, std::less<>> m_confirmed;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/presence.cpp
+++ b/src/libs/relay/presence.cpp
@@ -2,11 +2,12 @@
 
 namespace marigold::relay {
 
-presence::presence(
-    platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers, options opts)
+presence::presence(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers,
+    const base::clock& time, options opts)
     : m_store(store)
     , m_decoder(decoder)
     , m_timers(timers)
+    , m_clock(time)
     , m_options(std::move(opts))
 {
 }
@@ -20,11 +21,12 @@
         m_store.put({ .key = m_decoder.processKey(m_options.process),
                         .value = m_options.address.text(),
                         .lease = m_lease },
-            [this](base::result<std::uint64_t> written) {
-                if (written)
-                    scheduleRenewal();
-                else
-                    scheduleAnnounce();
+            [this, sentAt = m_clock.now()](base::result<std::uint64_t> written) {
+                if (!written)
+                    return scheduleAnnounce();
+                m_registeredSince = m_clock.now();
+                m_registeredAsOf = sentAt;
+                scheduleRenewal(renewalInterval());
             });
     });
 }
@@ -37,22 +39,36 @@
     });
 }
 
-void presence::scheduleRenewal()
+base::duration presence::renewalInterval() const
 {
     constexpr int renewalsPerLease = 3;
-    m_timers.runAfter(m_options.timeToLive / renewalsPerLease, [this] {
+    return m_options.timeToLive / renewalsPerLease;
+}
+
+void presence::scheduleRenewal(base::duration delay)
+{
+    m_timers.runAfter(delay, [this] {
         if (m_withdrawn)
             return;
-        m_store.keepAlive(m_lease, [this](base::result<void> renewed) {
-            const bool leaseExpired = !renewed && renewed.error().reason == base::error_reason::NotFound;
-            if (leaseExpired)
-                announce();
-            else
-                scheduleRenewal();
+        m_store.keepAlive(m_lease, [this, sentAt = m_clock.now()](base::result<void> renewed) {
+            if (!renewed && renewed.error().reason == base::error_reason::NotFound) {
+                m_registeredAsOf = {};
+                return announce();
+            }
+            if (renewed)
+                m_registeredAsOf = sentAt;
+            scheduleRenewal(renewed ? renewalInterval() : m_options.retryDelay);
         });
     });
 }
 
+bool presence::isKnownToOthers(base::duration maxAge) const
+{
+    const base::time_point now = m_clock.now();
+    return m_registeredAsOf != base::time_point {} && now - m_registeredAsOf < maxAge
+        && now - m_registeredSince >= m_options.changeLimit;
+}
+
 void presence::withdraw()
 {
     m_withdrawn = true;
--- a/src/libs/relay/presence.h
+++ b/src/libs/relay/presence.h
@@ -8,6 +8,13 @@
 
 namespace marigold::relay {
 
+/// Time for which a process still counts as a sender after its registration has ended. A running process
+/// registers again within it after an outage of the store.
+inline constexpr base::duration missingProcessGrace = std::chrono::milliseconds(2500);
+
+/// Time for which a process starts requests that fetch context after the others last knew of it.
+inline constexpr base::duration maxRegistrationAge = std::chrono::milliseconds(3500);
+
 /// Keeps a key of this process in the platform's store while the process runs, so that all processes know how
 /// many of them share the limits on targets.
 class presence {
@@ -17,24 +24,36 @@
         net::endpoint address = {}; ///< For datagrams of the other processes.
         base::duration timeToLive = std::chrono::seconds(6);
         base::duration retryDelay = std::chrono::milliseconds(700);
+        /// Time after which the other processes know of a new registration.
+        base::duration changeLimit = std::chrono::seconds(2);
     };
 
-    presence(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers, options opts);
+    presence(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers,
+        const base::clock& time, options opts);
 
     void start() { announce(); }
 
+    /// Returns true if the store had the registration of this process no longer than \a maxAge ago, and the
+    /// other processes have had the time to read it. The age counts from the call, not from its reply, so
+    /// that a pause of this process cannot make it look younger.
+    bool isKnownToOthers(base::duration maxAge) const;
+
     /// Removes the key when the process stops.
     void withdraw();
 
 private:
     void announce();
     void scheduleAnnounce();
-    void scheduleRenewal();
+    base::duration renewalInterval() const;
+    void scheduleRenewal(base::duration delay);
 
     platform::kv_store& m_store;
     const state_decoder& m_decoder;
     base::scheduler& m_timers;
+    const base::clock& m_clock;
     options m_options;
+    base::time_point m_registeredSince {};
+    base::time_point m_registeredAsOf {}; ///< Latest time at which the store had the key; zero if it has not.
     std::uint64_t m_lease = 0;
     bool m_withdrawn = false;
 };
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -22,9 +22,11 @@
 constexpr base::duration pauseThreshold = std::chrono::milliseconds(700);
 constexpr std::int64_t microsecondsPerMillisecond = 1000;
 
-/// Time for which a process still counts as a sender after its registration has ended. A running process
-/// registers again within it after an outage of the store.
-constexpr base::duration missingProcessGrace = std::chrono::milliseconds(2500);
+// The fetches of a process that is cut off must have ended when the others free context that only it uses.
+constexpr base::duration longestFetch = std::chrono::milliseconds(1000);
+constexpr base::duration transitMargin = std::chrono::milliseconds(500);
+static_assert(maxRegistrationAge + longestFetch + transitMargin
+    <= missingProcessGrace + weights_in_use::lapseGrace + context_reclaimer::options().freeDelay);
 
 } // namespace
 
@@ -57,7 +59,7 @@
               = [this](std::string_view part, std::string_view reason) { partReleased(part, reason); },
               .sound = [this](const sound_part& report) { m_quarantineExchange.partSound(report); } },
           m_options.quarantine)
-    , m_catalog(time, {})
+    , m_catalog(time, { .mayFetch = [this] { return isKnownToOthers(); } })
     , m_waitQueue(loop, time, {})
     , m_metrics(ports.metrics)
     , m_store(ports.store, m_metrics)
@@ -83,7 +85,8 @@
         .config = nullptr }
     , m_follower(
           m_store, ports.decoder, loop, time, m_random, log, *this, { .changeLimit = m_options.changeLimit })
-    , m_presence(m_store, ports.decoder, loop, { .process = m_options.process, .address = m_options.peers })
+    , m_presence(
+          m_store, ports.decoder, loop, time, { .process = m_options.process, .address = m_options.peers })
     , m_quarantineExchange(m_quarantine, m_store, ports.decoder, loop, time, m_random,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
           { .process = m_options.process })
@@ -98,7 +101,7 @@
     , m_contextFollower(m_catalog, ports.context, m_contextDistributor, loop, time, {})
     , m_contextReclaimer(m_catalog, m_contextFollower, ports.context, m_lease, m_targets, time, log, {})
     , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { datagramReceived(bytes); })
-    , m_loadExchange(m_targets, loop,
+    , m_loadExchange(m_targets, loop, time,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
           { .process = m_options.process,
               .takeFetchOutcomes = [this] { return m_catalog.takeFetchOutcomes(); },
@@ -264,6 +267,11 @@
         applyProcesses();
 }
 
+bool relay_server::isKnownToOthers() const
+{
+    return m_presence.isKnownToOthers(maxRegistrationAge) || m_loadExchange.isKnownToAll(maxRegistrationAge);
+}
+
 void relay_server::datagramReceived(std::string_view bytes)
 {
     // Datagrams are hints, and the port is open to any sender: invalid ones are ignored without a log line.
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -91,6 +91,8 @@
     void applyExcluded();
     void applyProcesses();
     void removeMissingProcesses();
+    /// Returns true if the other processes count this one, or did so until recently.
+    bool isKnownToOthers() const;
     void runHousekeeping();
     void checkResponsiveness();
     void finishDrainIfIdle();
--- a/src/libs/relay/target_registry.cpp
+++ b/src/libs/relay/target_registry.cpp
@@ -75,8 +75,7 @@
     m_groups.setProcesses(processes);
     m_peers.assign(processes.begin(), processes.end());
     std::erase(m_peers, m_options.process);
-    m_weightsInUse.retain(
-        [&](const std::string& process) { return std::ranges::find(m_peers, process) != m_peers.end(); });
+    m_weightsInUse.setProcesses(m_peers);
     for (const auto& [id, target] : m_targets)
         assign(*target);
 }
--- a/src/libs/relay/target_registry.h
+++ b/src/libs/relay/target_registry.h
@@ -197,7 +197,7 @@
     weights_in_use& weightsInUse() { return m_weightsInUse; }
 
     /// Returns the oldest version of \a model on which any registered process starts requests; 0 if unknown.
-    int oldestVersionInUse(std::string_view model) const { return m_weightsInUse.oldestOf(m_peers, model); }
+    int oldestVersionInUse(std::string_view model) const { return m_weightsInUse.oldestOfAll(model); }
 
     /// Returns the newest version of \a model that at least \a share of the targets of \a service have to
     /// which this process sends; 0 if there are none.
@@ -229,7 +229,7 @@
     std::shared_ptr<const relay_config> m_config;
     sender_groups m_groups;
     std::vector<std::string> m_peers; ///< Ids of the other registered processes.
-    weights_in_use m_weightsInUse;
+    weights_in_use m_weightsInUse { m_clock };
     bool m_isolated = false;
     std::map<std::string, int, std::less<>> m_counts; ///< Number of targets by service.
     std::map<std::string, std::map<std::string, int, std::less<>>, std::less<>> m_newest; ///< By service.
--- a/tests/libs/relay/context_reclaimer_test.cpp
+++ b/tests/libs/relay/context_reclaimer_test.cpp
@@ -53,7 +53,7 @@
     context_reclaimer reclaimer { catalog, follower, source, lease, targets, clock, log, {} };
     net::endpoint address { .address = "10.0.0.1", .port = 80 };
 
-    explicit fixture(bool holdsLease = true)
+    explicit fixture(bool holdsLease = true, bool hasRunForLong = true)
     {
         relay_config::options options { .version = 1 };
         options.services.push_back({ .name = "store",
@@ -69,7 +69,8 @@
                     = { { .stored = true, .scope = scope(version), .partId = "part", .tokens = 10 } } });
         if (holdsLease)
             lease.leaseObserved({});
-        run(std::chrono::seconds(1));
+        if (hasRunForLong)
+            run(context_reclaimer::options().startDelay + std::chrono::seconds(1));
     }
 
     static std::string scope(int version)
@@ -130,6 +131,43 @@
     CHECK(f.source.freedScopes == std::set<std::string> { fixture::scope(1) });
 }
 
+TEST_CASE("a process whose registration has ended holds back the context that it used for a while")
+{
+    // Guards against freeing context that a process fetches that is cut off from the platform's store.
+    for (const int reported : { 0, 1 }) {
+        CAPTURE(reported);
+        fixture f;
+        const std::vector<std::string_view> processes { "self", "a", "b" };
+        f.targets.setProcesses(processes);
+        f.put(0, 2);
+        f.targets.stopUsingOlderWeights("m", 2);
+        f.targets.weightsInUse().reported("a", { { base::hash64("m"), 2 } });
+        if (reported > 0)
+            f.targets.weightsInUse().reported("b", { { base::hash64("m"), reported } });
+        f.run(std::chrono::seconds(3));
+        const std::vector<std::string_view> remaining { "self", "a" };
+        f.targets.setProcesses(remaining);
+        f.targets.setProcesses(remaining);
+        f.run(std::chrono::milliseconds(2400));
+        CHECK(f.source.freedScopes.empty());
+        f.run(std::chrono::milliseconds(300));
+        CHECK(f.source.freedScopes == std::set<std::string> { fixture::scope(1) });
+    }
+}
+
+TEST_CASE("a process that has just started frees nothing")
+{
+    // Guards against freeing context that a process fetches of which this one has never known.
+    fixture f(false, false);
+    f.lease.leaseObserved({});
+    f.put(0, 2);
+    f.put(1, 2);
+    f.run(std::chrono::milliseconds(4900));
+    CHECK(f.source.freedScopes.empty());
+    f.run(std::chrono::milliseconds(300));
+    CHECK(f.source.freedScopes == std::set<std::string> { fixture::scope(1) });
+}
+
 TEST_CASE("only context of replaced weights is freed, once no request can use it")
 {
     // Guards against freeing a part while a request fetches it (users' rule MIXED).
--- a/tests/libs/relay/load_exchange_test.cpp
+++ b/tests/libs/relay/load_exchange_test.cpp
@@ -16,7 +16,7 @@
     base::manual_scheduler timers { clock };
     target_registry targets { clock, { .process = "self" } };
     std::map<std::string, int> sent;
-    load_exchange exchange { targets, timers,
+    load_exchange exchange { targets, timers, clock,
         [this](const net::endpoint& to, std::string_view) { ++sent[to.text()]; }, { .process = "self" } };
 
     explicit fixture(int peers)
@@ -148,7 +148,7 @@
         process& made = processes[id];
         made.targets = std::make_unique<target_registry>(clock, target_registry::options { .process = id });
         made.exchange = std::make_unique<load_exchange>(
-            *made.targets, timers, deliver, load_exchange::options { .process = id });
+            *made.targets, timers, clock, deliver, load_exchange::options { .process = id });
         made.targets->setProcesses(ids);
         made.exchange->setPeers(addresses);
         relay_config::options options { .version = 1 };
