--- a/src/libs/relay/load_digest.cpp
+++ b/src/libs/relay/load_digest.cpp
@@ -83,7 +83,7 @@
         ages.push_back(item.isExact);
     }
     json::to_msgpack(json::array({ digest.process, digest.sequence, std::move(numbers), std::move(versions),
-                         digest.isPartial, std::move(fetches), std::move(ages) }),
+                         digest.isPartial, std::move(fetches), std::move(ages), digest.lastReceived }),
         bytes);
     return bytes;
 }
@@ -122,6 +122,9 @@
                 .version = weightVersionOf(ages.at(i + 1)),
                 .age = millisecondsOf(ages.at(i + 2)),
                 .isExact = ages.at(i + 3).get<bool>() });
+        constexpr std::size_t lastReceivedAt = 7;
+        if (value.size() > lastReceivedAt)
+            digest.lastReceived = hashOf(value.at(lastReceivedAt));
         return digest;
     } catch (const std::exception& error) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/load_digest.h
+++ b/src/libs/relay/load_digest.h
@@ -49,6 +49,7 @@
     /// Oldest weight version on which the process still starts requests, by the hash of the model.
     std::map<std::uint64_t, int> oldestInUse = {};
     std::vector<version_age> versionAges = {};
+    std::uint64_t lastReceived = 0; ///< Sequence number of the receiver's last digest; 0 if none.
 };
 
 /// First byte of each datagram with a load digest; distinguishes it from other datagrams of the relays.
--- a/tests/libs/relay/load_exchange_test.cpp
+++ b/tests/libs/relay/load_exchange_test.cpp
@@ -16,7 +16,7 @@
     base::manual_scheduler timers { clock };
     target_registry targets { clock, { .process = "self" } };
     std::map<std::string, int> sent;
-    load_exchange exchange { targets, timers,
+    load_exchange exchange { targets, timers, clock,
         [this](const net::endpoint& to, std::string_view) { ++sent[to.text()]; }, { .process = "self" } };
 
     explicit fixture(int peers)
@@ -95,12 +95,12 @@
     std::vector<version_age> received;
     target_registry targets { clock, { .process = "self" } };
     target_registry peerTargets { clock, { .process = "peer" } };
-    load_exchange peer { peerTargets, timers, [](const net::endpoint&, std::string_view) {},
+    load_exchange peer { peerTargets, timers, clock, [](const net::endpoint&, std::string_view) {},
         { .process = "peer", .versionAgesReceived = [&](std::span<const version_age> all) {
              received.assign(all.begin(), all.end());
          } } };
     peer.setPeers({ { "self", { .address = "10.0.0.1", .port = 1 } } });
-    load_exchange exchange { targets, timers,
+    load_exchange exchange { targets, timers, clock,
         [&](const net::endpoint&, std::string_view bytes) { peer.received(bytes); },
         { .process = "self", .versionAges = [&] { return ages; } } };
     exchange.setPeers({ { "peer", { .address = "10.0.0.2", .port = 1 } } });
@@ -172,7 +172,7 @@
         process& made = processes[id];
         made.targets = std::make_unique<target_registry>(clock, target_registry::options { .process = id });
         made.exchange = std::make_unique<load_exchange>(
-            *made.targets, timers, deliver, load_exchange::options { .process = id });
+            *made.targets, timers, clock, deliver, load_exchange::options { .process = id });
         made.targets->setProcesses(ids);
         made.exchange->setPeers(addresses);
         relay_config::options options { .version = 1 };
