Frame answers by their status, and go on only with what follows the last event

What callers got: the body that a target sends with 204 or 304 behind its head (or 504, if only a length was stated); the events of another run behind a cut text body with lines 'id: 1'; the first event twice from a target that begins anew despite Last-Event-Id; a cut failure of 1.5 MB on a resumable route ('event without end'); 100 as the answer to a caller of HTTP/1.0; a second head from http_exchange::reply() behind a stream.

Change: the parser skips the body of an answer whose status has none, and none is written; only streams of events are scanned and resumed; a resumed stream whose first id isn't after the last one is a failed attempt; no interim answer to HTTP/1.0; reply() behind a stream aborts.

--- a/src/libs/net/http_server.cpp
+++ b/src/libs/net/http_server.cpp
@@ -128,6 +128,8 @@
 {
     if (!isOpen())
         return;
+    if (m_isStreaming)
+        return abort(); // The caller would read a second head as a part of the stream.
     m_isFinished = true;
     setReadTimeout(m_request, idleTimeoutAfterReply);
     addHeaders(m_request, response.headers);
--- a/src/libs/relay/caller_connection.cpp
+++ b/src/libs/relay/caller_connection.cpp
@@ -79,7 +79,8 @@
     m_head = std::move(head);
     m_bodyTooLarge = m_head.contentLength > m_options.limits.maxBodyBytes;
     const auto expect = m_head.headers.find("Expect");
-    if (expect && !m_bodyTooLarge)
+    // HTTP/1.0 has no interim answers.
+    if (expect && !m_bodyTooLarge && m_head.acceptsChunks)
         write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -149,6 +150,8 @@
         return;
     if (http_status::mayHaveBody(status))
         headers.add("Content-Length", std::to_string(body.size()));
+    else
+        body = {};
     if (m_closeAfterAnswer || !m_keepAlive)
         headers.add("Connection", "close");
     std::string text = answerHeadText(status, headers);
--- a/src/libs/relay/event_scanner.cpp
+++ b/src/libs/relay/event_scanner.cpp
@@ -1,6 +1,8 @@
 #include "event_scanner.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 
 namespace marigold::relay {
 
@@ -8,6 +10,20 @@
 
 constexpr std::string_view statusLineStart = "HTTP/1.";
 
+/// Returns whether an event with \a id may follow one with \a last. Ids increase if they are numbers.
+bool isAfter(std::string_view id, std::string_view last)
+{
+    const auto numberOf = [](std::string_view text) -> std::optional<std::uint64_t> {
+        std::uint64_t value = 0;
+        const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+        const bool isWhole = failure == std::errc {} && end == text.data() + text.size();
+        return isWhole ? std::optional(value) : std::nullopt;
+    };
+    const auto number = numberOf(id);
+    const auto lastNumber = numberOf(last);
+    return number && lastNumber ? *number > *lastNumber : id != last;
+}
+
 } // namespace
 
 std::size_t event_boundary::feed(std::string_view chunk)
@@ -66,6 +82,8 @@
 {
     m_partial.clear();
     m_boundary = {};
+    m_beganAnew = false;
+    m_goesOn = !m_lastId.empty();
 }
 
 void event_scanner::updateLastId(std::string_view events)
@@ -80,6 +98,10 @@
         line.remove_prefix(field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
+        if (std::exchange(m_goesOn, false) && !isAfter(line, m_lastId)) {
+            m_beganAnew = true;
+            return;
+        }
         m_lastId = line;
     }
 }
--- a/src/libs/relay/event_scanner.h
+++ b/src/libs/relay/event_scanner.h
@@ -45,6 +45,10 @@
     /// Adds the next bytes of the stream. Returns the bytes of all events that are complete now.
     std::string feed(std::string_view chunk);
 
+    /// Returns true if the stream that was to go on after the last event began with an earlier one or the
+    /// same. Its events are not to be used.
+    bool beganAnew() const { return m_beganAnew; }
+
     /// Returns the id of the last complete event that had one.
     const std::string& lastId() const { return m_lastId; }
 
@@ -63,6 +67,8 @@
     event_boundary m_boundary;
     std::string m_partial;
     std::string m_lastId;
+    bool m_goesOn = false; ///< No id has been received since the stream was to go on.
+    bool m_beganAnew = false;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/message_parser.cpp
+++ b/src/libs/relay/message_parser.cpp
@@ -154,8 +154,12 @@
     } else if (!isRequest && http_status::mayHaveBody(head.status))
         head.framing = body_framing::UntilClose;
     self.headComplete = true;
+    // The fields may state the length that the body of another status would have.
+    const int skipBody = !isRequest && !http_status::mayHaveBody(head.status) ? 1 : 0;
+    if (skipBody)
+        head.framing = body_framing::None;
     self.calls.head(std::move(head));
-    return 0;
+    return skipBody;
 }
 
 int message_parser::private_data::onBody(http_parser* parser, const char* at, std::size_t size)
--- a/src/libs/relay/relay_session_answer.cpp
+++ b/src/libs/relay/relay_session_answer.cpp
@@ -142,8 +142,11 @@
         }
         return;
     case answer_state::Forwarding:
-        if (m_route->resumable) {
-            m_caller->writeChunk(m_events.feed(chunk));
+        if (m_route->resumable && m_isEventStream) {
+            const std::string events = m_events.feed(chunk);
+            if (m_events.beganAnew())
+                return breakOffStream("resumed stream began anew");
+            m_caller->writeChunk(events);
             if (m_events.partialBytes() > maxEventBytes)
                 return breakOffStream("event without end");
         } else
