--- /dev/null
+++ b/src/libs/relay/relay_server_state.cpp
@@ -0,0 +1,112 @@
+#include "events.h"
+#include "relay_server.h"
+
+#include <utility>
+#include <variant>
+
+namespace marigold::relay {
+
+struct relay_server::state_visitor {
+    relay_server& self;
+
+    void operator()(std::monostate) const { }
+
+    void operator()(const std::shared_ptr<const relay_config>& config) const { self.setConfig(config); }
+
+    void operator()(const target_registration& target) const
+    {
+        if (!self.m_targets.targets().contains(target.id))
+            self.m_log.write(events::targetChanged,
+                { { "target", target.id }, { "service", target.service }, { "change", "came" } });
+        else if (target.draining)
+            self.m_log.write(events::targetChanged,
+                { { "target", target.id }, { "service", target.service }, { "change", "drains" } });
+        self.m_targets.put(target);
+        self.m_targetEnds.targetRegistered(target);
+    }
+
+    void operator()(const wanted_weights& named) const
+    {
+        self.m_log.write(
+            events::versionNamed, { { "model", named.model }, { "version", std::to_string(named.version) } });
+        self.m_chooser.setWantedVersion(named.model, named.version,
+            self.m_replacing && !self.m_hasSnapshot ? named_at::Unknown : named_at::Now);
+        self.m_rollout.setWantedVersion(named.model, named.version);
+    }
+
+    void operator()(const excluded_domain& excluded) const
+    {
+        self.m_excluded.insert(excluded.failureDomain);
+        self.applyExcluded();
+    }
+
+    void operator()(const running_process& process) const
+    {
+        if (process.address)
+            self.m_processes.insert_or_assign(process.id, *process.address);
+        self.m_missingProcesses.erase(process.id);
+        if (!self.m_replacing)
+            self.applyProcesses();
+    }
+
+    void operator()(const quarantine_entry& entry) const
+    {
+        if (self.m_replacing)
+            self.m_snapshotQuarantine.push_back(entry);
+        else
+            self.m_quarantineExchange.stored(entry);
+    }
+
+    void operator()(const order_lease& lease) const { self.m_lease.leaseObserved(lease); }
+};
+
+void relay_server::changed(const state_item& item)
+{
+    std::visit(state_visitor { *this }, item);
+}
+
+void relay_server::removed(const state_item& item)
+{
+    if (const auto* target = std::get_if<target_registration>(&item)) {
+        m_log.write(events::targetChanged, { { "target", target->id }, { "change", "left" } });
+        m_targets.remove(target->id);
+        m_targetEnds.targetRemoved(target->id);
+    } else if (const auto* excluded = std::get_if<excluded_domain>(&item)) {
+        m_excluded.erase(excluded->failureDomain);
+        applyExcluded();
+    } else if (const auto* process = std::get_if<running_process>(&item)) {
+        if (m_processes.erase(process->id) > 0)
+            m_missingProcesses.emplace(process->id, m_clock.now());
+        applyProcesses();
+    } else if (const auto* entry = std::get_if<quarantine_entry>(&item)) {
+        m_quarantineExchange.withdrawn(entry->key);
+    } else if (std::holds_alternative<order_lease>(item)) {
+        m_lease.leaseObserved({});
+    }
+}
+
+void relay_server::replaced(const std::vector<state_item>& present)
+{
+    m_excluded.clear();
+    for (const auto& [id, address] : std::exchange(m_processes, {}))
+        m_missingProcesses.emplace(id, m_clock.now());
+    bool leaseHeld = false;
+    std::vector<std::string> targets;
+    m_replacing = true;
+    for (const state_item& item : present) {
+        changed(item);
+        leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
+        if (const auto* target = std::get_if<target_registration>(&item))
+            targets.push_back(target->id);
+    }
+    m_replacing = false;
+    m_hasSnapshot = true;
+    m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
+    m_targets.retainTargets(targets);
+    applyExcluded();
+    applyProcesses();
+    if (!leaseHeld)
+        m_lease.leaseObserved({});
+}
+
+} // namespace marigold::relay
