--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -278,11 +278,36 @@
                "completed; fields as for MB-2072.",
     .action = "Consider a roll-out of another version; this one stays in use." };
 
+inline constexpr base::event_definition sentinelsChanged { .id = "MB-2033",
+    .level = base::log_level::Info,
+    .name = "relay_store_sentinels",
+    .meaning
+    = "The processes that watch the platform's store for the others have changed; fields: sentinels, "
+      "self (yes or no), processes (number of those that are known).",
+    .action = "" };
+
+inline constexpr base::event_definition watchOverdue { .id = "MB-2034",
+    .level = base::log_level::Info,
+    .name = "relay_watch_overdue",
+    .meaning
+    = "A watch of the platform's store had no reply, and the store is asked again; fields: reason (reported: "
+      "a sentinel knows of a change; uncovered: no sentinel vouches for the state), waited_ms, unanswered "
+      "(calls since the last reply).",
+    .action = "If it repeats, check the path of this process to the platform's store." };
+
+inline constexpr base::event_definition changeReadLate { .id = "MB-2035",
+    .level = base::log_level::Warning,
+    .name = "relay_change_read_late",
+    .meaning
+    = "A change that must not wait was read later than a sentinel had reported it, by over a quarter "
+      "of the time limit; fields: revision, behind_ms, unanswered (calls before the reply).",
+    .action = "Check the path of this process to the platform's store." };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
     processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded, partBlocked,
     partReleased, partTried, strayBytes, memoryShort, descriptorsShort, limitsInForce, requestRefusedEarly,
-    choicesSpread, hedgeSent, hedgeEnded, hedgeDenied, rolloutRequested, rolloutPhase, rolloutBad,
-    rolloutStatus, rolloutStatusWritten, rolloutWorse };
+    choicesSpread, sentinelsChanged, watchOverdue, changeReadLate, hedgeSent, hedgeEnded, hedgeDenied,
+    rolloutRequested, rolloutPhase, rolloutBad, rolloutStatus, rolloutStatusWritten, rolloutWorse };
 
 } // namespace marigold::relay::events
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -350,7 +350,7 @@
         ids.push_back(id);
     m_targets.setProcesses(ids);
     m_retryBudgets.setProcesses(ids);
-    m_follower.schedule().setProcesses(ids);
+    m_follower.setProcesses(ids);
     m_rollouts.setProcesses(ids);
     m_hedging.limit().setProcesses(ids);
     m_loadExchange.setPeers(m_processes);
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -1,9 +1,12 @@
 #include "state_follower.h"
 
 #include <relay/events.h>
+#include <relay/log_fields.h>
 
 #include <algorithm>
 
+#include <fmt/ranges.h>
+
 namespace marigold::relay {
 
 state_follower::state_follower(platform::kv_store& store, const state_decoder& decoder,
@@ -53,9 +56,34 @@
     return {};
 }
 
+void state_follower::reportLateChange()
+{
+    constexpr double reportedShare = 0.25;
+    const auto since = m_schedule.urgentSince();
+    const int unanswered = std::exchange(m_unanswered, 0);
+    if (!since || m_clock.now() - *since <= shareOfLimit(reportedShare))
+        return;
+    m_log.write(events::changeReadLate,
+        { { "revision", std::to_string(m_revision) }, { "behind_ms", milliseconds(m_clock.now() - *since) },
+            { "unanswered", std::to_string(unanswered) } });
+}
+
+void state_follower::setProcesses(std::span<const std::string_view> processes)
+{
+    const auto list = [this] { return fmt::format("{}", fmt::join(m_schedule.sentinels(), ",")); };
+    const std::string before = list();
+    m_schedule.setProcesses(processes);
+    const std::string now = list();
+    if (now != before)
+        m_log.write(events::sentinelsChanged,
+            { { "sentinels", now }, { "self", m_schedule.isSentinel() ? "yes" : "no" },
+                { "processes", std::to_string(processes.size()) } });
+}
+
 void state_follower::apply(const platform::kv_snapshot& snapshot)
 {
     m_revision = snapshot.revision;
+    reportLateChange();
     m_schedule.replyReceived(m_revision);
     m_schedule.urgentChangeRead();
     m_hasState = true;
@@ -75,11 +103,14 @@
 void state_follower::watch()
 {
     m_isWatching = true;
+    m_isWaiting = true;
+    ++m_unanswered;
     m_watchBegan = m_clock.now();
     m_store.watch(m_options.prefix, m_revision, m_schedule.waitLimit(),
         [this, number = ++m_watch](base::result<platform::kv_watch_batch> batch) {
             if (number != m_watch)
                 return;
+            m_isWaiting = false;
             if (!batch) {
                 m_isWatching = false;
                 // The store has discarded the changes since the last known revision.
@@ -98,13 +129,22 @@
 
 void state_follower::checkWatch()
 {
-    if (m_isWatching && m_schedule.mustRead(m_watchBegan))
-        watch();
+    using read_reason = watch_schedule::read_reason;
+    const read_reason reason = m_isWatching ? m_schedule.mustRead(m_watchBegan) : read_reason::None;
+    if (reason == read_reason::None)
+        return;
+    if (m_isWaiting)
+        m_log.write(events::watchOverdue,
+            { { "reason", std::string(nameOf(reason)) },
+                { "waited_ms", milliseconds(m_clock.now() - m_watchBegan) },
+                { "unanswered", std::to_string(m_unanswered) } });
+    watch();
 }
 
 void state_follower::apply(const platform::kv_watch_batch& batch)
 {
     m_revision = std::max(m_revision, batch.revision);
+    reportLateChange();
     m_schedule.replyReceived(m_revision);
     bool isUrgent = !batch.removals.empty();
     for (const std::string& key : batch.removals)
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marigold::relay {
@@ -62,6 +64,9 @@
     /// Decides which processes watch for the others.
     watch_schedule& schedule() { return m_schedule; }
 
+    /// Sets the ids of the registered processes.
+    void setProcesses(std::span<const std::string_view> processes);
+
     /// Reads changes at once if the schedule requires it. To be called periodically.
     void checkWatch();
 
@@ -73,6 +78,7 @@
 
 private:
     base::duration shareOfLimit(double share) const;
+    void reportLateChange();
     void readSnapshot();
     void apply(const platform::kv_snapshot& snapshot);
     void watch();
@@ -92,6 +98,8 @@
     watch_schedule m_schedule;
     std::uint64_t m_watch = 0; ///< Number of the latest watch; replies to earlier ones are ignored.
     bool m_isWatching = false; ///< A watch has begun, or is due after the interval.
+    bool m_isWaiting = false; ///< The latest watch has neither ended nor failed.
+    int m_unanswered = 0; ///< Watches since the last reply.
     base::time_point m_watchBegan {};
     std::uint64_t m_revision = 0;
     bool m_hasState = false;
--- a/src/libs/relay/store/watch_schedule.cpp
+++ b/src/libs/relay/store/watch_schedule.cpp
@@ -3,6 +3,7 @@
 #include <relay/message/json_document.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -101,20 +102,45 @@
     return isCovered() ? m_options.longInterval : m_options.shortInterval;
 }
 
-bool watch_schedule::mustRead(base::time_point began) const
+watch_schedule::read_reason watch_schedule::mustRead(base::time_point began) const
 {
     if (m_isSentinel || m_reports.empty())
-        return false;
+        return read_reason::None;
     const base::time_point now = m_clock.now();
     if (!isCovered())
-        return now - began >= m_options.shortWait + m_options.shortInterval;
+        return now - began >= m_options.shortWait + m_options.shortInterval ? read_reason::Uncovered
+                                                                            : read_reason::None;
     const auto isOverdue = [&](base::time_point since, base::duration delay) {
         return since != base::time_point {} && now - std::max(since, began) >= delay;
     };
-    return std::ranges::any_of(m_reports, [&](const auto& entry) {
+    const bool isReported = std::ranges::any_of(m_reports, [&](const auto& entry) {
         return isOverdue(entry.second.urgentSince, m_options.renewalDelay)
             || isOverdue(entry.second.aheadSince, m_options.longInterval + m_options.renewalDelay);
     });
+    return isReported ? read_reason::Reported : read_reason::None;
+}
+
+std::optional<base::time_point> watch_schedule::urgentSince() const
+{
+    std::optional<base::time_point> earliest;
+    for (const auto& [process, known] : m_reports)
+        if (known.urgentSince != base::time_point {})
+            earliest = std::min(earliest.value_or(known.urgentSince), known.urgentSince);
+    return earliest;
+}
+
+std::vector<std::string_view> watch_schedule::sentinels() const
+{
+    std::vector<std::string_view> ids;
+    for (const auto& [process, known] : m_reports)
+        ids.push_back(process);
+    return ids;
+}
+
+std::string_view nameOf(watch_schedule::read_reason reason)
+{
+    constexpr std::array<std::string_view, 3> names { "none", "reported", "uncovered" };
+    return names[static_cast<std::size_t>(reason)];
 }
 
 std::string encode(const watch_schedule::report& item)
--- a/src/libs/relay/store/watch_schedule.h
+++ b/src/libs/relay/store/watch_schedule.h
@@ -4,9 +4,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigold::relay {
 
@@ -72,9 +74,23 @@
     /// Returns how long the next watch is delayed after a reply.
     base::duration interval() const;
 
-    /// Returns whether this process must read changes now, although its watch, which began at \a began, has
-    /// not ended, or its next one is not due.
-    bool mustRead(base::time_point began) const;
+    /// Why a process must read changes now.
+    enum class read_reason {
+        None, ///< It need not.
+        Reported, ///< A sentinel knows of a change that this process lacks.
+        Uncovered, ///< No sentinel vouches for the state, and the watch had no reply.
+    };
+
+    /// Returns whether and why this process must read changes now, although its watch, which began at \a
+    /// began, has not ended, or its next one is not due.
+    read_reason mustRead(base::time_point began) const;
+
+    /// Returns since when a sentinel has reported a change that must not wait and that this process lacks.
+    std::optional<base::time_point> urgentSince() const;
+
+    /// Returns the ids of the sentinels, in alphabetical order.
+    std::vector<std::string_view> sentinels() const;
+    bool isSentinel() const { return m_isSentinel; }
 
 private:
     struct sentinel_report {
@@ -98,6 +114,9 @@
     std::map<std::string, sentinel_report, std::less<>> m_reports; ///< By sentinel.
 };
 
+/// Returns the snake-case name of \a reason.
+std::string_view nameOf(watch_schedule::read_reason reason);
+
 /// Encodes \a item for a digest.
 std::string encode(const watch_schedule::report& item);
 
