--- a/tests/libs/relay/store/state_follower_test.cpp
+++ b/tests/libs/relay/store/state_follower_test.cpp
@@ -1,4 +1,5 @@
 #include <relay/store/state_follower.h>
+#include <support/delayed_kv_store.h>
 #include <support/fake_kv_store.h>
 
 #include <doctest/doctest.h>
@@ -122,13 +123,15 @@
     plain_decoder decoder;
     struct process {
         std::string id;
+        testing::delayed_kv_store path;
         state_recorder state;
         state_follower follower;
 
         process(follower_fleet& fleet, std::string name)
             : id(std::move(name))
+            , path(fleet.store, fleet.timers)
             , state(fleet.clock)
-            , follower(fleet.store, fleet.decoder, fleet.timers, fleet.clock, fleet.random, fleet.log, state,
+            , follower(path, fleet.decoder, fleet.timers, fleet.clock, fleet.random, fleet.log, state,
                   { .process = id })
         {
         }
@@ -190,6 +193,7 @@
     int mutedSentinels;
     int lossInterval;
     int unanswered; ///< Number of the next watches that get no reply; those of the sentinels come first.
+    base::duration delay { 0 }; ///< Of the replies to the processes that are not sentinels.
 };
 
 /// Checks that all processes of a fleet know each change within the time limit.
@@ -199,6 +203,7 @@
     CAPTURE(item.processes);
     CAPTURE(item.mutedSentinels);
     CAPTURE(item.unanswered);
+    CAPTURE(item.delay);
     follower_fleet fleet(item.processes);
     fleet.lossInterval = item.lossInterval;
     fleet.write("zero");
@@ -212,6 +217,9 @@
         if (fleet.isSentinel(i) && static_cast<int>(fleet.muted.size()) < item.mutedSentinels)
             fleet.muted.insert(i);
     fleet.store.unansweredWatches = item.unanswered;
+    for (std::size_t i = 0; i < fleet.processes.size(); ++i)
+        if (!fleet.isSentinel(i))
+            fleet.processes[i]->path.delay = item.delay;
     for (const char* value : { "one", "two", "three" }) {
         fleet.run(std::chrono::seconds(1));
         fleet.write(value);
@@ -244,6 +252,16 @@
         checkChangesKnown(item);
 }
 
+TEST_CASE("a process whose replies are slow knows each change within the time limit")
+{
+    // Guards against a reply that is dropped since the process has asked again meanwhile.
+    using std::chrono::milliseconds;
+    for (const fleet_fault& item :
+        { fleet_fault { 8, 0, 0, 0, milliseconds(400) }, fleet_fault { 48, 0, 0, 0, milliseconds(400) },
+            fleet_fault { 48, 0, 3, 3, milliseconds(500) }, fleet_fault { 48, 0, 0, 0, milliseconds(260) } })
+        checkChangesKnown(item);
+}
+
 TEST_SUITE_END();
 
 TEST_CASE("the last known state stays in force while the store is unreachable")
