--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -457,6 +457,7 @@
     m_log.write(events::processState, { { "state", "draining" } });
     m_lease.release();
     m_callers.closeAfterAnswer();
+    m_services.endsAt = m_clock.now() + m_options.drainLimit;
     m_loop.runAfter(m_options.drainLimit, [this] { finishDrain(); });
     // The load balancer still sends new connections until it has detected that this process is not ready.
     m_loop.runAfter(std::min(m_options.noticePeriod, m_options.drainLimit / 2), [this] {
@@ -476,11 +477,16 @@
 {
     if (std::exchange(m_finished, true))
         return;
-    // Leaves time for the revocation of the presence lease to be sent. Without it, the other processes would
-    // wait for the lease to expire.
-    constexpr base::duration leaseRevokeTime = std::chrono::milliseconds(100);
+    std::vector<relay_session*> sessions;
+    for (const auto& [key, session] : m_sessions)
+        sessions.push_back(key);
+    for (relay_session* session : sessions)
+        session->endForStop();
+    // Leaves time for the last answers and the revocation of the presence lease to be sent. Without it, the
+    // other processes would wait for the lease to expire.
+    constexpr base::duration lastSendTime = std::chrono::milliseconds(100);
     m_presence.withdraw();
-    m_loop.runAfter(leaseRevokeTime, [this] { m_loop.stop(); });
+    m_loop.runAfter(lastSendTime, [this] { m_loop.stop(); });
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/session/relay_services.h
+++ b/src/libs/relay/session/relay_services.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace marigold::relay {
 
@@ -44,6 +45,7 @@
     admission_control* admission = nullptr; ///< Null unless it is enabled.
     hedge_policy& hedging;
     base::time_point startedAt {}; ///< Start time of the process.
+    std::optional<base::time_point> endsAt = {}; ///< When a graceful shutdown ends the process.
     /// Claims a trial with a blocked part, by its name and the number of the trial.
     std::function<void(std::string_view, int, std::function<void(bool)>)> claimTrial;
     std::shared_ptr<const relay_config> config; ///< Null until the first configuration is known.
--- a/src/libs/relay/session/relay_session.cpp
+++ b/src/libs/relay/session/relay_session.cpp
@@ -22,6 +22,9 @@
 /// be served before its caller times out.
 constexpr double maxQueueTimeFactor = 2.0;
 
+/// Retry time for callers of a process that ends: their next connection goes to another one.
+constexpr base::duration stoppingRetryAfter = std::chrono::milliseconds(50);
+
 /// Retry time for callers while this process has no configuration or no target.
 constexpr base::duration unavailableRetryAfter = std::chrono::milliseconds(700);
 
@@ -184,7 +187,7 @@
 
 void relay_session::dispatch()
 {
-    if (refuseBlocked() || refuseUnwanted())
+    if (refuseBlocked() || refuseUnwanted() || refuseForStop())
         return;
     if (!m_services.waitQueue.mustWaitBehind(*this)) {
         const placement found = choose();
@@ -205,7 +208,7 @@
 
 dispatch_result relay_session::tryDispatch()
 {
-    if (refuseBlocked() || refuseUnwanted())
+    if (refuseBlocked() || refuseUnwanted() || refuseForStop())
         return dispatch_result::Dispatched;
     const placement found = choose();
     m_lastChoice = found.outcome;
@@ -246,6 +249,28 @@
     return true;
 }
 
+bool relay_session::refuseForStop()
+{
+    if (!m_services.endsAt || *m_services.endsAt - now() >= m_route->latencyGoal)
+        return false;
+    m_isQueued = false;
+    if (m_verdict != base::verdict::NotRun)
+        sendOwnAnswer(http_status::badGateway, {}, "stopping");
+    else
+        sendOwnAnswer(http_status::serviceUnavailable, stoppingRetryAfter, "stopping");
+    return true;
+}
+
+void relay_session::endForStop()
+{
+    if (m_ended || m_isCheckingEnd)
+        return;
+    abandonAttempt();
+    if (m_verdict == base::verdict::NotRun)
+        return sendOwnAnswer(http_status::serviceUnavailable, stoppingRetryAfter, "stopping");
+    sendOwnAnswer(http_status::badGateway, {}, "stopping");
+}
+
 base::duration relay_session::retryAfter(base::duration usual) const
 {
     const auto wanted = m_services.targets.nextWanted(m_service->name);
--- a/src/libs/relay/session/relay_session.h
+++ b/src/libs/relay/session/relay_session.h
@@ -40,6 +40,9 @@
     /// Ends the request if a part of its prompt has been blocked and its answer has not begun.
     void cancelBlocked();
 
+    /// Ends the request since the process ends: with a refusal, or as unanswered if it may have run.
+    void endForStop();
+
     void callerDisconnected() override;
     void callerWritable() override;
     bool answerBegins(const message_head& head) override;
@@ -69,6 +72,8 @@
     /// Records the outcome of the present attempt for the roll-out of its service.
     void reportAttempt(rollout_control::attempt_outcome outcome);
     void rejectUnplaced();
+    /// Refuses a request that this process can't see through before it ends. Returns true if it has.
+    bool refuseForStop();
     /// Ends a request whose service wants none before the end of its wait. Returns true if it has.
     bool refuseUnwanted();
     /// Returns \a usual, or the time until a target wants requests again if that is longer.
