--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -91,6 +91,9 @@
     /// event loop.
     void drain();
 
+    /// Returns what the process holds for its callers and targets.
+    const net::memory_account& memory() const { return m_guard.memory(); }
+
     void changed(const state_item& item) override;
     void removed(const state_item& item) override;
     void replaced(const std::vector<state_item>& present) override;
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -82,6 +82,26 @@
     }
 }
 
+TEST_CASE("a response whose head is cut is an error")
+{
+    // Guards against a cut head that is taken for a success without a body.
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t size = 1; size < head.size(); ++size) {
+        CAPTURE(size);
+        event_loop loop;
+        testing::raw_server server(loop, { .start = head.substr(0, size) });
+        http_client client(loop);
+        base::result<http_response> outcome = http_response {};
+        client.send({ .to = { .address = "127.0.0.1", .port = server.port } },
+            [&](base::result<http_response> result) {
+                outcome = std::move(result);
+                loop.stop();
+            });
+        loop.run();
+        CHECK_FALSE(outcome);
+    }
+}
+
 TEST_CASE("a response that only the end of its connection ends is marked")
 {
     // Guards against a response that its server broke off and that a caller of the client takes for whole.
