--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -290,10 +290,10 @@
     .level = base::log_level::Info,
     .name = "relay_watch_overdue",
     .meaning
-    = "A watch of the platform's store had no reply, and the store is asked again; fields: reason (reported: "
+    = "A watch of the platform's store had no reply, and the store is polled; fields: reason (reported: "
       "a sentinel knows of a change; unconfirmed: the state was trusted for as "
-      "long as it may be), waited_ms, asked "
-      "(questions since the last reply).",
+      "long as it may be), waited_ms, polls "
+      "(since the last reply).",
     .action = "If it repeats, check the path of this process to the platform's store." };
 
 inline constexpr base::event_definition changeReadLate { .id = "MB-2035",
@@ -301,7 +301,7 @@
     .name = "relay_change_read_late",
     .meaning
     = "A change that must not wait was read later than a sentinel had reported it, by over a quarter "
-      "of the time limit; fields: revision, behind_ms, asked (questions before the reply).",
+      "of the time limit; fields: revision, behind_ms, polls (before the reply).",
     .action = "Check the path of this process to the platform's store." };
 
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Wait of a question. The store replies at once, which shows that the path to it works.
-constexpr base::duration askWait = std::chrono::milliseconds(1);
+/// Wait of a poll. The store replies at once, which shows that the path to it works.
+constexpr base::duration pollWait = std::chrono::milliseconds(1);
 
 } // namespace
 
@@ -74,7 +74,7 @@
         return;
     m_log.write(events::changeReadLate,
         { { "revision", std::to_string(m_revision) }, { "behind_ms", milliseconds(m_clock.now() - *since) },
-            { "asked", std::to_string(m_asked) } });
+            { "polls", std::to_string(m_polls) } });
 }
 
 void state_follower::setProcesses(std::span<const std::string_view> processes)
@@ -93,7 +93,7 @@
 {
     m_revision = snapshot.revision;
     reportLateChange();
-    m_asked = 0;
+    m_polls = 0;
     m_schedule.replyReceived(m_revision);
     m_schedule.urgentChangeRead();
     m_hasState = true;
@@ -132,11 +132,11 @@
         });
 }
 
-void state_follower::ask()
+void state_follower::poll()
 {
-    ++m_asked;
+    ++m_polls;
     m_readBegan = m_clock.now();
-    m_store.watch(m_options.prefix, m_revision, askWait,
+    m_store.watch(m_options.prefix, m_revision, pollWait,
         [this, began = m_readBegan, number = m_snapshot](base::result<platform::kv_watch_batch> batch) {
             const bool isRetrying = m_phase == phase::Retrying;
             if (number != m_snapshot || (!batch && (m_repliedAt >= began || isRetrying)))
@@ -160,7 +160,7 @@
     const watch_schedule::read_reason reason = m_schedule.mustRead({ .watchBegan = m_watchBegan,
         .watchWait = isWatching ? m_watchWait : base::duration::zero(),
         .lastBegan = m_readBegan,
-        .asked = m_asked });
+        .polls = m_polls });
     if (reason == watch_schedule::read_reason::None)
         return;
     if (!isWatching)
@@ -168,19 +168,22 @@
     m_log.write(events::watchOverdue,
         { { "reason", std::string(nameOf(reason)) },
             { "waited_ms", milliseconds(m_clock.now() - m_watchBegan) },
-            { "asked", std::to_string(m_asked) } });
-    ask();
+            { "polls", std::to_string(m_polls) } });
+    poll();
 }
 
 void state_follower::apply(const platform::kv_watch_batch& batch, base::time_point asOf)
 {
-    // A batch ends with the state at its revision, so that those between may be skipped or repeated.
     if (batch.revision < m_revision)
         return;
+    // A batch ends with the state at its revision: those of several calls may overlap.
+    const bool isNew = batch.revision > m_revision;
     m_revision = batch.revision;
     reportLateChange();
-    m_asked = 0;
+    m_polls = 0;
     m_schedule.replyReceived(m_revision, asOf);
+    if (!isNew)
+        return;
     bool isUrgent = !batch.removals.empty();
     for (const std::string& key : batch.removals)
         m_observer.removed(m_decoder.removed(key));
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -50,7 +50,7 @@
         double watchDurationShare = 0.65;
         double sentinelWaitShare = 0.25; ///< The same for a process that watches for the others.
         /// Share of that time for which the state is trusted without a reply of the store, be it to this
-        /// process or to a sentinel. The rest is for the questions that follow.
+        /// process or to a sentinel. The rest is for the polls that follow.
         double trustedShare = 0.55;
         std::string process = {};
         base::duration minRetryDelay = std::chrono::milliseconds(100);
@@ -70,7 +70,7 @@
     /// Sets the ids of the registered processes.
     void setProcesses(std::span<const std::string_view> processes);
 
-    /// Asks for changes beside the watch if the schedule requires it. To be called periodically.
+    /// Polls the store beside the watch if the schedule requires it. To be called periodically.
     void checkWatch();
 
     /// Returns true if a snapshot has been read.
@@ -92,7 +92,7 @@
     void readSnapshot();
     void apply(const platform::kv_snapshot& snapshot);
     void watch();
-    void ask();
+    void poll();
     /// Applies \a batch unless a later one has been applied. It states what the store had at \a asOf.
     void apply(const platform::kv_watch_batch& batch, base::time_point asOf);
     void reportLateChange();
@@ -115,9 +115,9 @@
     std::uint64_t m_snapshot = 0; ///< Number of the latest snapshot.
     base::time_point m_watchBegan {};
     base::duration m_watchWait { 0 };
-    base::time_point m_readBegan {}; ///< Of the latest watch or question.
+    base::time_point m_readBegan {}; ///< Of the latest watch or poll.
     base::time_point m_repliedAt {};
-    int m_asked = 0; ///< Questions since the last reply.
+    int m_polls = 0; ///< Polls since the last reply.
     std::uint64_t m_revision = 0;
     bool m_hasState = false;
     bool m_reachable = true;
--- a/src/libs/relay/store/watch_schedule.cpp
+++ b/src/libs/relay/store/watch_schedule.cpp
@@ -14,7 +14,7 @@
 /// Key of the rendezvous hashing: any constant that all processes share.
 constexpr std::string_view sentinelKey = "store-watch";
 
-/// Bounds the time between two questions to 16 times the first.
+/// Bounds the time between two polls to 16 times the first.
 constexpr int maxDoublings = 4;
 
 } // namespace
@@ -129,7 +129,7 @@
 watch_schedule::read_reason watch_schedule::mustRead(const pending_reads& pending) const
 {
     const base::time_point now = m_clock.now();
-    const int doublings = std::clamp(pending.asked - 1, 0, maxDoublings);
+    const int doublings = std::clamp(pending.polls - 1, 0, maxDoublings);
     if (now - pending.lastBegan < m_options.renewalDelay * (1 << doublings))
         return read_reason::None;
     if (isReported(now))
--- a/src/libs/relay/store/watch_schedule.h
+++ b/src/libs/relay/store/watch_schedule.h
@@ -12,17 +12,17 @@
 
 namespace marigold::relay {
 
-/// Decides how long a watch of the platform's store may wait, and when the store is asked beside it.
+/// Decides how long a watch of the platform's store may wait, and when the store is polled beside it.
 ///
 /// A watch may stop delivering changes without an error. Each process therefore bounds the time for which it
 /// trusts its state, from the last moment as of which it knows that it lacks no change that must not wait,
-/// and asks the store when that time has passed.
+/// and polls the store when that time has passed.
 ///
-/// The load that this causes: each call is billed, and all processes of a large fleet would ask every two
+/// The load that this causes: each call is billed, and all processes of a large fleet would poll every two
 /// seconds although nothing has changed. A few sentinels, computed from the registered processes by
 /// rendezvous hashing, watch with short waits and tell the others in their digests which revision of the
 /// store they have read, when, and which one was the last that must not wait. A report only ever prolongs the
-/// trust of a process that has read that far, or makes it ask sooner; a lost or late one costs a call.
+/// trust of a process that has read that far, or makes it poll sooner; a lost or late one costs a call.
 class watch_schedule {
 public:
     struct options {
@@ -42,7 +42,7 @@
         /// its short waits.
         base::duration trustedFor = std::chrono::milliseconds(1100);
         /// Time for a change to arrive by the watch itself after a sentinel has reported it. It doubles with
-        /// each question without a reply.
+        /// each poll without a reply.
         base::duration renewalDelay = std::chrono::milliseconds(150);
     };
 
@@ -89,7 +89,7 @@
         base::time_point watchBegan {};
         base::duration watchWait { 0 }; ///< Zero if no watch waits.
         base::time_point lastBegan {}; ///< Of the latest one.
-        int asked = 0; ///< Questions beside the watch.
+        int polls = 0; ///< Beside the watch.
     };
 
     /// Returns whether and why this process must read changes now, although its watch has not ended, or its
