--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -134,9 +134,11 @@
         self.relays = []
         self.record(f"TROUBLE={self.trouble_kind}")
 
-    def record(self, text):
+    def record(self, text, is_printed=True):
+        """Writes a line to the record and, unless it is one of many, to the standard output."""
         line = f"{time.monotonic() - self.started_at:9.3f} s  {text}"
-        print(line, flush=True)
+        if is_printed:
+            print(line, flush=True)
         self.file.write(line + "\n")
         self.file.flush()
 
--- a/review/lib-2/engines.py
+++ b/review/lib-2/engines.py
@@ -126,6 +126,11 @@
             await writer.drain()
 
     def take_order(self, order):
+        status = self.order_status(order)
+        self.deployment.record(f"{self.id} answers the order of version {order['Version']} with {status}", False)
+        return status
+
+    def order_status(self, order):
         if order["Fence"] < self.seen_fence:
             return 412
         self.seen_fence = order["Fence"]
@@ -157,6 +162,8 @@
             return
         self.running += 1
         self.runs.append((attempt, self.version, time.monotonic()))
+        self.deployment.record(f"{self.id} runs {attempt} with version {self.version}; "
+                               f"fetch: {request.header('x-kv-fetch-from') or 'none'}", False)
         try:
             await self.read_prompt(request, attempt)
             fields += [("X-Server-Seal", "seal"), ("Content-Type", "text/event-stream"),
