--- a/review/7/case.py
+++ b/review/7/case.py
@@ -102,6 +102,7 @@
         self.calls += 1
         attempt = f"{name}-{self.calls}"
         prompt = [*parts, (f"{self.calls:x}", 100)]
+        self.deployment.record(f"the client sends {attempt} to {relay.name}", False)
         try:
             reader, writer = await asyncio.open_connection(relay.ip, relay.port)
             writer.write((f"POST /chapters/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {attempt}\r\n"
@@ -111,8 +112,7 @@
                           "Authorization: Bearer key\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").encode())
             answer = await asyncio.wait_for(reader.read(), 13)
             writer.close()
-            if not answer.startswith(b"HTTP/1.1 200 "):
-                self.deployment.record(f"{attempt} at {relay.name}: {answer[:40]!r}")
+            self.deployment.record(f"the client of {attempt} gets {answer[9:12].decode() or 'no answer'}", False)
         except (OSError, asyncio.TimeoutError) as problem:
             self.deployment.record(f"{attempt} at {relay.name}: {problem!r}")
         return attempt
