Register a process with one lease, and only if its key does not exist

Cause: each attempt of presence to register took a new lease and wrote the key without a condition. A first write that got no reply and was carried out 3 s later replaced the key of the second attempt and tied it to the first lease, which nobody renewed. The key went with it; the process judged by its second lease that the others knew of it, and went on fetching context that the holder of the lease on orders freed. Change: all attempts use one lease until the store says that it has ended, and write the key only if it is absent, so that a late write finds the key or no lease. A conflict on the process's own key is an earlier attempt that was carried out.

--- a/src/libs/relay/store/presence.cpp
+++ b/src/libs/relay/store/presence.cpp
@@ -13,24 +13,59 @@
 }
 
 void presence::announce()
+{
+    if (m_lease == 0)
+        takeLease();
+    else
+        renewLease();
+}
+
+void presence::takeLease()
 {
     m_store.grantLease(m_options.timeToLive, [this](base::result<std::uint64_t> lease) {
         if (!lease || m_withdrawn)
             return scheduleAnnounce();
         m_lease = *lease;
-        m_store.put({ .key = m_decoder.processKey(m_options.process),
-                        .value = m_options.address.text(),
-                        .lease = m_lease },
-            [this, sentAt = m_clock.now()](base::result<std::uint64_t> written) {
-                if (!written)
-                    return scheduleAnnounce();
-                m_registeredSince = m_clock.now();
-                m_registeredAsOf = sentAt;
-                scheduleRenewal(renewalInterval());
-            });
+        writeKey();
+    });
+}
+
+void presence::renewLease()
+{
+    m_store.keepAlive(m_lease, [this](base::result<void> renewed) {
+        if (!renewed && renewed.error().reason == base::error_reason::NotFound)
+            forgetLease();
+        if (!renewed || m_withdrawn)
+            return scheduleAnnounce();
+        writeKey();
     });
 }
 
+void presence::writeKey()
+{
+    m_store.put({ .key = m_decoder.processKey(m_options.process),
+                    .value = m_options.address.text(),
+                    .expectedRevision = 0,
+                    .lease = m_lease },
+        [this, sentAt = m_clock.now()](base::result<std::uint64_t> written) {
+            // A conflict is the key of an earlier attempt whose reply was lost; no other process uses it.
+            if (!written && written.error().reason != base::error_reason::Conflict) {
+                if (written.error().reason == base::error_reason::NotFound)
+                    forgetLease();
+                return scheduleAnnounce();
+            }
+            m_registeredSince = m_clock.now();
+            m_registeredAsOf = sentAt;
+            scheduleRenewal(renewalInterval());
+        });
+}
+
+void presence::forgetLease()
+{
+    m_lease = 0;
+    m_registeredAsOf = {};
+}
+
 void presence::scheduleAnnounce()
 {
     m_timers.runAfter(m_options.retryDelay, [this] {
@@ -52,7 +87,7 @@
             return;
         m_store.keepAlive(m_lease, [this, sentAt = m_clock.now()](base::result<void> renewed) {
             if (!renewed && renewed.error().reason == base::error_reason::NotFound) {
-                m_registeredAsOf = {};
+                forgetLease();
                 return announce();
             }
             if (renewed)
--- a/src/libs/relay/store/presence.h
+++ b/src/libs/relay/store/presence.h
@@ -17,6 +17,10 @@
 
 /// Keeps a key of this process in the platform's store while the process runs, so that all processes know how
 /// many of them share the limits on targets.
+///
+/// A write whose reply is lost may be carried out later. All attempts to write the key therefore use the same
+/// lease until the store says that it has ended, and none replaces a key that exists: the key then stays for
+/// as long as the lease that this process renews.
 class presence {
 public:
     struct options {
@@ -42,7 +46,12 @@
     void withdraw();
 
 private:
+    /// Registers this process, under the latest lease if there is one.
     void announce();
+    void takeLease();
+    void renewLease();
+    void writeKey();
+    void forgetLease();
     void scheduleAnnounce();
     base::duration renewalInterval() const;
     void scheduleRenewal(base::duration delay);
@@ -54,7 +63,7 @@
     options m_options;
     base::time_point m_registeredSince {};
     base::time_point m_registeredAsOf {}; ///< Latest time at which the store had the key; zero if it has not.
-    std::uint64_t m_lease = 0;
+    std::uint64_t m_lease = 0; ///< The latest one, unless the store has said that it has ended.
     bool m_withdrawn = false;
 };
 
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <vector>
 
 namespace marigold::testing {
 
@@ -13,6 +14,7 @@
     Unavailable, ///< The call has no effect and fails at once.
     LostRequest, ///< The call has no effect and fails with an unknown outcome.
     LostAnswer, ///< The call takes effect, but fails with an unknown outcome.
+    LateEffect, ///< The call fails with an unknown outcome and takes effect `lateBy` afterwards.
 };
 
 /// In-memory key-value service with a queue of faults. Responses are delivered after `delay` by the
@@ -31,6 +33,7 @@
     int unansweredWatches = 0;
     bool historyLost = false; ///< Watches fail with `NotFound` until the next snapshot.
     base::duration delay { 2000 };
+    base::duration lateBy = std::chrono::seconds(3); ///< Time until a late call is carried out.
     std::size_t reads = 0;
     std::size_t writes = 0;
     std::map<std::string, platform::kv_entry, std::less<>> entries;
@@ -64,6 +67,9 @@
                     .value = write.value,
                     .revision = m_revision,
                     .createdRevision = created == 0 ? m_revision : created };
+                // The end of a lease deletes only keys whose last write named it.
+                for (auto& [id, record] : m_leases)
+                    std::erase(record.keys, write.key);
                 if (write.lease)
                     m_leases[write.lease].keys.push_back(write.key);
                 return m_revision;
@@ -238,6 +244,13 @@
                 return done(base::notRun(base::error_reason::Unavailable, "service is down"));
             if (fault == kv_fault::LostRequest)
                 return done(base::mayHaveRun(base::error_reason::Unavailable, "response lost"));
+            if (fault == kv_fault::LateEffect) {
+                m_scheduler.runAfter(lateBy, [this, effect] {
+                    endExpiredLeases();
+                    effect();
+                });
+                return done(base::mayHaveRun(base::error_reason::Unavailable, "response lost"));
+            }
             base::result<T> outcome = effect();
             if (fault == kv_fault::LostAnswer)
                 return done(base::mayHaveRun(base::error_reason::Unavailable, "response lost"));
