Let Resumable count for streams alone

Cause: route::mayRepeat was true for any route with Resumable. The setting says that a stream may be resumed; what may be repeated follows from the kind of the route. Change: route::mayResume is true for streams only; retries, the continuation of a stream and the hedge use it.

--- a/src/libs/relay/session/relay_session_answer.cpp
+++ b/src/libs/relay/session/relay_session_answer.cpp
@@ -152,7 +152,7 @@
     case answer_state::Forwarding:
         if (!m_isEventStream || m_boundary.hasEvent())
             cancelHedge();
-        if (m_route->resumable && m_isEventStream) {
+        if (m_route->mayResume() && m_isEventStream) {
             const std::string events = m_events.feed(chunk);
             if (m_events.beganAnew())
                 return breakOffStream("resumed stream began anew");
@@ -379,7 +379,7 @@
         return true;
     if (!mayRepeat() || m_possibleRuns >= m_route->maxAttempts)
         return false;
-    return !m_callerStatus || (m_route->resumable && !m_events.lastId().empty());
+    return !m_callerStatus || (m_route->mayResume() && !m_events.lastId().empty());
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/session/relay_session_hedge.cpp
+++ b/src/libs/relay/session/relay_session_hedge.cpp
@@ -91,7 +91,7 @@
     routing::retry_budget& budget = m_services.retryBudgets.budgetFor(m_service->name);
     hedge_facts facts { .kind = m_route->kind,
         .mayRepeat = mayRepeat(),
-        .resumable = m_route->resumable,
+        .resumable = m_route->mayResume(),
         .answerBegan = m_firstTokenReceived || !m_events.lastId().empty(),
         .partBlocked = m_isTrial || m_services.quarantine.find(m_sharedParts) != nullptr,
         .possibleRuns = m_possibleRuns,
--- a/src/libs/relay/store/relay_config.h
+++ b/src/libs/relay/store/relay_config.h
@@ -40,10 +40,14 @@
     int priority = 0; ///< 0 is the most urgent.
     int maxAttempts = 1; ///< Number of targets that one request may be sent to.
     bool anonymous = false;
-    bool resumable = false;
+    bool resumable = false; ///< As configured; see `mayResume`.
     std::vector<route_share> shares = {};
 
-    bool mayRepeat() const { return kind == request_kind::Idempotent || resumable; }
+    /// Returns whether a stream may go on at another target. The setting means nothing on a route of another
+    /// kind, which has no streams: a non-idempotent request must not run again because of it.
+    bool mayResume() const { return kind == request_kind::Stream && resumable; }
+
+    bool mayRepeat() const { return kind == request_kind::Idempotent || mayResume(); }
 };
 
 /// Limits of a model engine as configured by the operator.
--- a/tests/libs/relay/small_parts_test.cpp
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -33,6 +33,29 @@
     CHECK(nameAt("c", "/x/1") == "");
 }
 
+TEST_CASE("only the kind of a route allows a repetition, and only a stream may be resumed")
+{
+    // Guards against an order that runs twice since its route was configured as resumable.
+    struct row {
+        request_kind kind;
+        bool resumable;
+        bool mayRepeat;
+        bool mayResume;
+    };
+    for (const row& item : { row { request_kind::Idempotent, false, true, false },
+             row { request_kind::Idempotent, true, true, false },
+             row { request_kind::NonIdempotent, false, false, false },
+             row { request_kind::NonIdempotent, true, false, false },
+             row { request_kind::Stream, false, false, false },
+             row { request_kind::Stream, true, true, true } }) {
+        const route configured { .kind = item.kind, .resumable = item.resumable };
+        CAPTURE(nameOf(item.kind));
+        CAPTURE(item.resumable);
+        CHECK(configured.mayRepeat() == item.mayRepeat);
+        CHECK(configured.mayResume() == item.mayResume);
+    }
+}
+
 TEST_CASE("only complete events are forwarded, without changes")
 {
     // Guards against a resumed stream that repeats or omits bytes of the interrupted event.
