Give the sharing teams another cache scope when a team becomes isolated

Cause: the scope of context was the same for the sharing teams whoever was isolated. Neither stores nor engines know which request made a part, so that only another scope keeps the others from it. Change: the scope of the sharing teams has a digest of the isolated teams' names, which no team in it has ever used. It is determined when a request is sent. Without isolated teams it is as before. Names of teams are encoded in the scope, since a slash in one could give two teams the same scope.

--- a/src/libs/relay/session/relay_session.cpp
+++ b/src/libs/relay/session/relay_session.cpp
@@ -118,10 +118,8 @@
 
 void relay_session::setScope(int weightVersion)
 {
-    m_scope = context_scope { .model = m_request.model,
-        .weightVersion = weightVersion,
-        .isolatedTeam = m_team && m_team->isolated ? m_team->name : std::string() }
-                  .text();
+    // A team may have become isolated since the request arrived.
+    m_scope = context_scope::of(*m_services.config, m_team, m_request.model, weightVersion).text();
 }
 
 int relay_session::urgency() const
--- a/src/libs/relay/store/relay_config.cpp
+++ b/src/libs/relay/store/relay_config.cpp
@@ -5,6 +5,19 @@
 
 namespace marigold::relay {
 
+namespace {
+
+/// Returns a digest of \a names that is not 0.
+std::uint64_t digestOf(const std::set<std::string, std::less<>>& names)
+{
+    std::uint64_t digest = 1;
+    for (const std::string& name : names)
+        digest = base::hash64(name, digest);
+    return std::max<std::uint64_t>(digest, 1);
+}
+
+} // namespace
+
 std::string_view nameOf(request_kind kind)
 {
     constexpr std::array<std::string_view, 3> names { "idempotent", "non_idempotent", "stream" };
@@ -27,6 +40,12 @@
     }
     for (auto& [key, owner] : opts.teamsByKey)
         m_teamsByKey.emplace(std::move(key), std::move(owner));
+    m_isolatedTeams.insert(opts.isolatedTeams.begin(), opts.isolatedTeams.end());
+    for (const auto& [key, owner] : m_teamsByKey)
+        if (owner.isolated)
+            m_isolatedTeams.insert(owner.name);
+    if (!m_isolatedTeams.empty())
+        m_isolationDigest = digestOf(m_isolatedTeams);
 }
 
 const route* relay_config::findRoute(std::string_view host, std::string_view path) const
--- a/src/libs/relay/store/relay_config.h
+++ b/src/libs/relay/store/relay_config.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -104,6 +105,7 @@
         std::vector<route> routes = {};
         std::vector<service_info> services = {};
         std::vector<std::pair<std::string, team>> teamsByKey = {};
+        std::vector<std::string> isolatedTeams = {}; ///< Names, also of teams without a key.
         bool hasTeams = false;
         caller_limits limits = {};
     };
@@ -117,6 +119,13 @@
     /// Returns the route of \a host with the longest prefix of \a path; null if there is none.
     const route* findRoute(std::string_view host, std::string_view path) const;
     const team* findTeam(std::string_view key) const;
+
+    /// Returns whether the team \a name shares no context with others.
+    bool isIsolated(std::string_view name) const { return m_isolatedTeams.contains(name); }
+
+    /// Returns a digest of the names of the isolated teams, the same at all processes; 0 if there are none.
+    std::uint64_t isolationDigest() const { return m_isolationDigest; }
+
     const service_info* findService(std::string_view name) const;
     const std::map<std::string, service_info, std::less<>>& services() const { return m_services; }
 
@@ -131,6 +140,8 @@
     std::map<std::string, std::vector<route>, std::less<>> m_routesByHost; ///< Longest prefix first.
     std::map<std::string, service_info, std::less<>> m_services;
     std::map<std::string, team, std::less<>> m_teamsByKey;
+    std::set<std::string, std::less<>> m_isolatedTeams;
+    std::uint64_t m_isolationDigest = 0;
 };
 
 /// The registration of a target.
--- a/tests/libs/relay/small_parts_test.cpp
+++ b/tests/libs/relay/small_parts_test.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
@@ -144,14 +146,17 @@
 {
     // Guards against context of other weights or of an isolated team that is taken for the caller's own.
     CHECK(rc::check("scope", [] {
-        const context_scope scope { .model = *rc::gen::element<std::string>("m", "a/b", "x-1"),
+        context_scope scope { .model = *rc::gen::element<std::string>("m", "a/b", "x-1"),
             .weightVersion = *rc::gen::inRange(0, 1000),
-            .isolatedTeam = *rc::gen::element<std::string>("", "team") };
-        const auto read = context_scope::parse(scope.text());
+            .isolatedTeam
+            = *rc::gen::element<std::string>("", "team", "b/", "!0000000000000007", "%2f", "a b\r\n") };
+        scope.isolationDigest
+            = scope.isolatedTeam.empty() ? *rc::gen::element<std::uint64_t>(0, 7, ~0ULL) : 0;
+        const std::string text = scope.text();
+        RC_ASSERT(std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; }));
+        const auto read = context_scope::parse(text);
         RC_ASSERT(read.has_value());
-        RC_ASSERT(read->model == scope.model);
-        RC_ASSERT(read->weightVersion == scope.weightVersion);
-        RC_ASSERT(read->isolatedTeam == scope.isolatedTeam);
+        RC_ASSERT(*read == scope);
     }));
     CHECK_FALSE(context_scope::parse("").has_value());
     CHECK_FALSE(context_scope::parse("v1").has_value());
--- a/tests/libs/relay/store/presence_test.cpp
+++ b/tests/libs/relay/store/presence_test.cpp
@@ -56,8 +56,8 @@
 
 TEST_CASE("a registration whose first write is carried out late stays in the store")
 {
-    // Guards against a process that the others take as gone for good while it goes on: the holder of the lease
-    // on orders then frees context that its requests are fetching.
+    // Guards against a process that the others take as gone for good while it goes on: the holder of the
+    // lease on orders then frees context that its requests are fetching.
     for (const auto late : { 100, 500, 1500, 3000, 5900, 8000 })
         for (const std::size_t callsBefore : { 1, 2, 3 }) {
             CAPTURE(late);
@@ -97,7 +97,8 @@
 
 TEST_CASE("a process registers anew after its lease has ended, and not once it has withdrawn")
 {
-    // Guards against a process that is not counted after an outage, and against one that is counted after its end.
+    // Guards against a process that is not counted after an outage, and against one that is counted after its
+    // end.
     fixture f;
     f.registration.start();
     f.run(std::chrono::seconds(1));
