Take an answer whose status is none for broken

A 000 without a body kept its request waiting until the time limit, and 600 and 999 were passed on. An agent kept 099 and 103 as the outcome of a call. Cause: the relay took any status below 200 for an interim answer and parsed what followed as the next one; evhttp refuses only 0 and takes all other numbers, and each interim status but 100, for a final response. Nothing checked the range. Change: message_parser rejects answers outside 100 to 599, http_client fails calls outside 200 to 599, with the verdict "may have run".

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -27,6 +27,12 @@
 constexpr ev_ssize_t maxResponseHeaderBytes = 64 << 10;
 
 constexpr int noContent = 204;
+constexpr int firstErrorStatus = 400;
+
+/// Status codes of final responses (RFC 9110, section 15). evhttp takes any other number for one as well, and
+/// each interim response but 100.
+constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
 
 /// Effectively disables the timeouts of evhttp, since the timers of this class end a call.
 constexpr int transportTimeoutSeconds = 24 * 3600;
@@ -204,14 +210,17 @@
             connectFailed ? "connection refused" : "connection lost before the response was complete");
         return;
     }
-    http_response response {
-        .status = evhttp_request_get_response_code(request), .headers = inputHeaders(request), .body = {}
-    };
+    const int status = evhttp_request_get_response_code(request);
+    if (status < firstFinalStatus || status > lastFinalStatus) {
+        self->freeLater(connection);
+        return self->fail(entry->id, true, base::error_reason::Unavailable,
+            fmt::format("the status {} is not one of a response", status));
+    }
+    http_response response { .status = status, .headers = inputHeaders(request), .body = {} };
     response.body = entry->call.onData ? std::move(entry->errorBody)
                                        : bufferText(evhttp_request_get_input_buffer(request));
     response.endsWithConnection = !response.headers.find("Content-Length")
-        && !response.headers.find("Transfer-Encoding")
-        && evhttp_request_get_response_code(request) != noContent;
+        && !response.headers.find("Transfer-Encoding") && status != noContent;
     const auto removed = self->remove(entry->id);
     const auto close = response.headers.find("Connection");
     if (close && *close == "close")
--- a/src/libs/relay/message/http_status.h
+++ b/src/libs/relay/message/http_status.h
@@ -20,6 +20,15 @@
 inline constexpr int serviceUnavailable = 503;
 inline constexpr int gatewayTimeout = 504;
 
+/// Returns whether an answer may have \a status (RFC 9110, section 15). One with another status, such as 000,
+/// is no answer.
+constexpr bool isValid(int status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return status >= first && status <= last;
+}
+
 /// Returns whether a body follows the head of an answer with \a status (RFC 9110, section 6.4.1).
 constexpr bool mayHaveBody(int status)
 {
--- a/src/libs/relay/message/message_parser.cpp
+++ b/src/libs/relay/message/message_parser.cpp
@@ -140,6 +140,10 @@
         self.malformed = true;
         return -1;
     }
+    if (!isRequest && !http_status::isValid(static_cast<int>(parser->status_code))) {
+        self.malformed = true;
+        return -1;
+    }
     message_head& head = self.head;
     if (isRequest)
         head.method = http_method_str(static_cast<http_method>(parser->method));
--- a/src/libs/relay/message/message_parser.h
+++ b/src/libs/relay/message/message_parser.h
@@ -35,7 +35,7 @@
 
 /// Incremental HTTP/1.1 parser based on http_parser. Rejects messages that two parsers could interpret
 /// differently: both Content-Length and Transfer-Encoding, field names that are not tokens, control
-/// characters, and upgrades.
+/// characters, and upgrades. Rejects answers whose status is none.
 class message_parser {
 public:
     enum class kind {
--- a/tests/libs/agent/http_plain_service_test.cpp
+++ b/tests/libs/agent/http_plain_service_test.cpp
@@ -40,7 +40,7 @@
         return fmt::format("{:08x}-{:04x}-7000-8000-000000000001", milliseconds >> 16, milliseconds & 0xffff);
     }
 
-    base::result<agent::plain_answer> call(const std::string& key)
+    base::result<agent::plain_answer> call(const std::string& key, const std::string& body = "body")
     {
         std::optional<base::result<agent::plain_answer>> outcome;
         caller.call({ .team = "t",
@@ -49,7 +49,7 @@
                         .path = "/orders",
                         .idempotencyKey = key,
                         .remaining = std::chrono::seconds(5) },
-            "body", false, [&](base::result<agent::plain_answer> answer) {
+            body, false, [&](base::result<agent::plain_answer> answer) {
                 outcome = std::move(answer);
                 loop.stop();
             });
@@ -90,3 +90,19 @@
         CHECK(fixture.server.requests == 1);
     }
 }
+
+TEST_CASE("a reply whose status is none is not kept")
+{
+    // Guards against a status such as 000 that each repeat of the same idempotency key gets.
+    for (const std::string status : { "000", "099", "103", "600", "999" }) {
+        CAPTURE(status);
+        service_fixture fixture(
+            { .start = "HTTP/1.1 " + status + " Created\r\nContent-Type: text/plain\r\n\r\norder 12" });
+        const std::string key = fixture.key();
+        const auto first = fixture.call(key);
+        REQUIRE_FALSE(first);
+        CHECK(first.error().verdict == base::verdict::MayHaveRun);
+        CHECK_FALSE(fixture.call(key));
+        CHECK(fixture.server.requests == 1);
+    }
+}
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -102,6 +102,30 @@
     }
 }
 
+TEST_CASE("a response whose status is none is an error")
+{
+    // Guards against a server in trouble whose status, such as 000, is passed on or kept as an outcome.
+    for (const std::string status :
+        { "000", "00", "0", "099", "99", "-200", "101", "103", "199", "600", "999", "2000", "", "abc" }) {
+        CAPTURE(status);
+        event_loop loop;
+        testing::raw_server server(loop,
+            { .start = "HTTP/1.1 " + status
+                    + " Fine\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfake" });
+        http_client client(loop);
+        base::result<http_response> outcome = http_response {};
+        client.send(
+            { .to = { .address = "127.0.0.1", .port = server.port }, .timeout = std::chrono::seconds(2) },
+            [&](base::result<http_response> result) {
+                outcome = std::move(result);
+                loop.stop();
+            });
+        loop.run();
+        REQUIRE_FALSE(outcome);
+        CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
+    }
+}
+
 TEST_CASE("a response that only the end of its connection ends is marked")
 {
     // Guards against a response that its server broke off and that a caller of the client takes for whole.
