Take a success for broken if its connection ended before the request was written

A plain reset was seen and failed already. Cause: only the close ends such a body, and nothing asked whether the target had received the request that it answered. Change: such an answer below 400 is broken off while bytes of the request wait in the buffer, or are unacknowledged in the socket. Failures keep their status.

--- a/src/libs/net/http_client.cpp
+++ b/src/libs/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "socket_state.h"
+
 #include <cerrno>
 #include <map>
 #include <netinet/in.h>
@@ -66,6 +68,12 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Returns whether the server has not received all that was sent on \a connection.
+bool isUnwritten(evhttp_connection* connection)
+{
+    return unacknowledgedBytes(bufferevent_getfd(evhttp_connection_get_bufferevent(connection))) > 0;
+}
+
 void freeConnection(evutil_socket_t, short, void* connection)
 {
     evhttp_connection_free(static_cast<evhttp_connection*>(connection));
@@ -100,6 +108,7 @@
         base::timer_id timeout = 0;
         base::timer_id connectTimeout = 0;
         bool wasConnected = false;
+        bool wasUnwritten = false; ///< The server closed the connection before it had the whole request.
         std::string errorBody; ///< Body of a response whose status is not 200, if `onData` is set.
     };
 
@@ -117,6 +126,7 @@
     static int headersReceived(evhttp_request* request, void* argument);
     static void chunkReceived(evhttp_request* request, void* argument);
     static void completed(evhttp_request* request, void* argument);
+    static void connectionCloses(evhttp_connection* connection, void* argument);
 };
 
 evhttp_connection* http_client::private_data::acquireConnection(const endpoint& to, bool fresh)
@@ -159,6 +169,7 @@
         return nullptr;
     loop.cancel(node.mapped()->timeout);
     loop.cancel(node.mapped()->connectTimeout);
+    evhttp_connection_set_closecb(node.mapped()->connection, nullptr, nullptr);
     return std::move(node.mapped());
 }
 
@@ -196,6 +207,11 @@
     onData(bufferText(evhttp_request_get_input_buffer(request)));
 }
 
+void http_client::private_data::connectionCloses(evhttp_connection* connection, void* argument)
+{
+    static_cast<running_call*>(argument)->wasUnwritten = isUnwritten(connection);
+}
+
 void http_client::private_data::completed(evhttp_request* request, void* argument)
 {
     auto* entry = static_cast<running_call*>(argument);
@@ -221,6 +237,13 @@
                                        : bufferText(evhttp_request_get_input_buffer(request));
     response.endsWithConnection = !response.headers.find("Content-Length")
         && !response.headers.find("Transfer-Encoding") && status != noContent;
+    // The server has ended rather than its response. The status of a failure tells the outcome anyway.
+    if (response.endsWithConnection && status < firstErrorStatus
+        && (entry->wasUnwritten || isUnwritten(connection))) {
+        self->freeLater(connection);
+        return self->fail(entry->id, true, base::error_reason::StreamBroken,
+            "connection closed before the request was written");
+    }
     const auto removed = self->remove(entry->id);
     const auto close = response.headers.find("Connection");
     if (close && *close == "close")
@@ -261,6 +284,8 @@
     evhttp_request_set_header_cb(entry->request, private_data::headersReceived);
     if (entry->call.onData)
         evhttp_request_set_chunked_cb(entry->request, private_data::chunkReceived);
+    // evhttp closes the connection before it reports the end of a response with "Connection: close".
+    evhttp_connection_set_closecb(entry->connection, private_data::connectionCloses, entry);
     evhttp_connection_set_max_body_size(
         entry->connection, static_cast<ev_ssize_t>(entry->call.maxResponseBytes));
 
--- a/src/libs/net/net.h
+++ b/src/libs/net/net.h
@@ -11,4 +11,5 @@
 #include "http_types.h"
 #include "memory_account.h"
 #include "rpc_endpoint.h"
+#include "socket_state.h"
 #include "udp_socket.h"
--- a/src/libs/relay/targets/target_connection.cpp
+++ b/src/libs/relay/targets/target_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <relay/message/http_status.h>
 
+#include <net/socket_state.h>
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
@@ -123,6 +125,12 @@
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool target_connection::isRequestUnwritten() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_events)) > 0
+        || net::unacknowledgedBytes(bufferevent_getfd(m_events)) > 0;
+}
+
 void target_connection::cancel()
 {
     m_handler = nullptr;
@@ -158,6 +166,10 @@
     const bool orderly = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR);
     if (orderly && connection->m_handler && connection->m_parser.hasStarted()
         && connection->m_parser.feedEnd() == message_parser::progress::Complete) {
+        // The target has ended rather than its answer.
+        if (connection->m_closeEndsSuccess && connection->isRequestUnwritten())
+            return connection->fail(
+                "target closed its answer before it had the request", base::error_reason::StreamBroken);
         if (!connection->m_skippingAnswer)
             return connection->answerCompleted();
     }
@@ -180,6 +192,8 @@
     }
     m_reusable = m_reusable && head.keepAlive;
     m_keepAlive = keepAliveTimeout(head.headers);
+    // The status of a failure tells the outcome; its body only explains it.
+    m_closeEndsSuccess = head.framing == body_framing::UntilClose && head.status < http_status::badRequest;
     m_skippingAnswer = !m_handler->answerBegins(head);
     m_foreignAnswerSeen = m_foreignAnswerSeen || m_skippingAnswer;
     m_ownAnswerBegun = !m_skippingAnswer;
--- a/src/libs/relay/targets/target_connection.h
+++ b/src/libs/relay/targets/target_connection.h
@@ -106,6 +106,8 @@
     void fail(std::string message, base::error_reason reason = base::error_reason::Unavailable);
     void close();
     void reportStrayBytes(stray_place place) const;
+    /// Returns true if the target has not received the whole request.
+    bool isRequestUnwritten() const;
     bool preambleWithinLimits(std::size_t newBytes);
     void stopPreambleTimer() { m_loop.cancel(std::exchange(m_preambleTimer, 0)); }
 
@@ -121,6 +123,7 @@
     bool m_connected = false;
     bool m_skippingAnswer = false; ///< The current answer belongs to another request.
     bool m_foreignAnswerSeen = false;
+    bool m_closeEndsSuccess = false; ///< The current answer is a success that only the close ends.
     bool m_reusable = true;
     std::optional<base::duration> m_keepAlive;
     base::time_point m_idleSince {};
--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -102,6 +102,79 @@
     }
 }
 
+TEST_CASE("a response whose connection is reset while the request is still being written is an error")
+{
+    // Guards against a part of a body that is taken for all of it, since the write reports the reset.
+    const std::string start = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+    for (const std::string& framing : { "", "Content-Length: 4000\r\n", "Transfer-Encoding: chunked\r\n" })
+        for (const std::size_t upload : { 100, 300'000, 24'000'000 })
+            for (const int delay : { 0, 1, 50 }) {
+                CAPTURE(framing);
+                CAPTURE(upload);
+                CAPTURE(delay);
+                event_loop loop;
+                testing::raw_server server(loop,
+                    { .start = start + framing + "\r\n"
+                            + (framing.starts_with("Transfer") ? "4\r\nhalf\r\n" : "half"),
+                        .endAfter = std::chrono::milliseconds(delay) });
+                http_client client(loop);
+                base::result<http_response> outcome = http_response {};
+                client.send({ .to = { .address = "127.0.0.1", .port = server.port },
+                                .method = "POST",
+                                .body = std::string(upload, 'u') },
+                    [&](base::result<http_response> result) {
+                        outcome = std::move(result);
+                        loop.stop();
+                    });
+                loop.run();
+                REQUIRE_FALSE(outcome);
+                CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
+            }
+}
+
+TEST_CASE("a success that the end of its connection ends before the request was written is an error")
+{
+    // Guards against a part of a body that is taken for all of it: a server that ends closes its connections
+    // in order if it has read all that had arrived, and resets them when more arrives.
+    struct row {
+        std::string head;
+        std::size_t upload;
+        bool complete;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+    const std::string closes = "Connection: close\r\n";
+    const std::string refused = "HTTP/1.1 413 Too Large\r\nContent-Type: text/plain\r\n";
+    const std::string framed = "Content-Length: 4\r\n";
+    constexpr std::size_t few = 100;
+    constexpr std::size_t some = 1'000'000; // Fits into the buffer of the socket.
+    constexpr std::size_t many = 24'000'000;
+    for (const row& item : { row { ok, few, true }, row { ok + closes, few, true }, row { ok, some, false },
+             row { ok + closes, some, false }, row { refused, some, true }, row { ok, many, false },
+             row { ok + closes, many, false }, row { ok + framed, few, true }, row { refused, few, true } }) {
+        CAPTURE(item.head);
+        CAPTURE(item.upload);
+        event_loop loop;
+        testing::raw_server server(loop,
+            { .start = item.head + "\r\nhalf",
+                .endAfter = std::chrono::milliseconds(20),
+                .endsInOrder = true });
+        http_client client(loop);
+        base::result<http_response> outcome = http_response {};
+        client.send({ .to = { .address = "127.0.0.1", .port = server.port },
+                        .method = "POST",
+                        .body = std::string(item.upload, 'u'),
+                        .timeout = std::chrono::seconds(2) },
+            [&](base::result<http_response> result) {
+                outcome = std::move(result);
+                loop.stop();
+            });
+        loop.run();
+        REQUIRE(outcome.has_value() == item.complete);
+        if (!outcome)
+            CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
+    }
+}
+
 TEST_CASE("a response whose status is none is an error")
 {
     // Guards against a server in trouble whose status, such as 000, is passed on or kept as an outcome.
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -2,6 +2,7 @@
 
 #include <net/event_loop.h>
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -9,6 +10,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 namespace marigold::testing {
 
@@ -21,6 +23,9 @@
         std::string later = {}; ///< Sent for each request after the first one; the connection stays open.
         std::string unasked = {}; ///< Sent on the open connection some time after `start`.
         bool endsWithAnswer = false; ///< Nothing listens any more once the first connection is closed.
+        /// Ends the connection this long after `start`, and reads nothing beyond the request head.
+        std::optional<base::duration> endAfter = {};
+        bool endsInOrder = false; ///< The end is a FIN instead of a reset.
     };
 
     raw_server(net::event_loop& loop, options opts)
@@ -67,6 +72,13 @@
             return;
         evbuffer_drain(input, evbuffer_get_length(input));
         ++self->requests;
+        if (self->m_options.endAfter) {
+            bufferevent_disable(events, EV_READ);
+            self->m_timer = self->m_loop.runAfter(*self->m_options.endAfter, [self] {
+                self->m_timer = 0;
+                self->endConnection();
+            });
+        }
         self->write(self->requests == 1 || self->m_options.later.empty() ? self->m_options.start
                                                                          : self->m_options.later);
         if (self->requests == 1 && !self->m_options.unasked.empty())
@@ -83,7 +95,7 @@
             return; // The connection is ready for writing, and no request has arrived.
         if (!self->m_options.flood.empty())
             return self->write(self->m_options.flood);
-        if (!self->m_options.later.empty())
+        if (!self->m_options.later.empty() || self->m_options.endAfter)
             return;
         if (self->m_options.endsWithAnswer)
             self->closeListener();
@@ -103,6 +115,19 @@
         if (m_events)
             bufferevent_free(std::exchange(m_events, nullptr));
     }
+    void endConnection()
+    {
+        if (!m_events)
+            return;
+        const int socket = bufferevent_getfd(m_events);
+        if (m_options.endsInOrder) {
+            shutdown(socket, SHUT_WR);
+            return;
+        }
+        const linger discard { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+        closeConnection();
+    }
     void closeListener()
     {
         if (m_listener)
