Compete for the lease on orders again after each failed attempt

Cause: order_lease_holder ended an attempt whose write was refused, or whose look-up failed after a lost write, without scheduling the next one; it waited for a change of the key that nobody made. Change: competeLater ends each failed attempt and schedules the next one after 0.4 s and the jitter.

--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -58,6 +58,15 @@
     m_timers.runAfter(wait + base::duration(m_random.below(jitter + 1)), [this] { compete(); });
 }
 
+void order_lease_holder::competeLater()
+{
+    m_competing = false;
+    if (!m_isVacant)
+        return;
+    m_competeFrom = std::max(m_competeFrom, m_clock.now() + m_options.retryDelay);
+    scheduleCompete();
+}
+
 void order_lease_holder::compete()
 {
     if (!m_isVacant || m_released) {
@@ -68,9 +77,7 @@
     m_store.grantLease(m_options.timeToLive, [this, sentAt](base::result<std::uint64_t> granted) {
         if (granted && m_isVacant)
             return writeLease(*granted, sentAt);
-        m_competing = false;
-        if (m_isVacant)
-            scheduleCompete();
+        competeLater();
     });
 }
 
@@ -85,7 +92,7 @@
                 return acquired(leaseId, sentAt, *token);
             if (token.error().verdict != base::verdict::NotRun)
                 return verifyOwnership(leaseId, sentAt);
-            m_competing = false;
+            competeLater();
         });
 }
 
@@ -95,10 +102,8 @@
         [this, leaseId, sentAt](base::result<std::optional<platform::kv_entry>> entry) {
             if (entry && *entry && (*entry)->value == m_options.process)
                 return acquired(leaseId, sentAt, (*entry)->createdRevision);
-            m_competing = false;
             // The write may still be carried out; its lease expires on its own.
-            if (entry && !*entry)
-                scheduleCompete();
+            competeLater();
         });
 }
 
--- a/src/libs/relay/orders/order_lease_holder.h
+++ b/src/libs/relay/orders/order_lease_holder.h
@@ -24,6 +24,8 @@
         base::duration takeoverDelay { 0 };
         /// Processes that observe the end of the lease compete after a random part of this time.
         base::duration jitter = std::chrono::milliseconds(250);
+        /// Time after a failed attempt in which this process does not compete. A new holder is known by then.
+        base::duration retryDelay = std::chrono::milliseconds(400);
     };
 
     order_lease_holder(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers,
@@ -49,6 +51,8 @@
 
 private:
     void scheduleCompete();
+    /// Ends an attempt that has failed; the next one is scheduled here, since the store may never change.
+    void competeLater();
     void compete();
     void writeLease(std::uint64_t leaseId, base::time_point sentAt);
     void acquired(std::uint64_t leaseId, base::time_point sentAt, std::uint64_t token);
--- /dev/null
+++ b/tests/libs/relay/orders/order_lease_test.cpp
@@ -0,0 +1,121 @@
+#include <relay/orders/order_lease_holder.h>
+#include <support/fake_kv_store.h>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace marigold;
+using namespace marigold::relay;
+using testing::kv_fault;
+
+namespace {
+
+class lease_decoder final : public state_decoder {
+public:
+    base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
+    state_item removed(std::string_view) const override { return {}; }
+    std::string processKey(std::string_view id) const override { return std::string(id); }
+    std::string quarantineKey(std::string_view) const override { return {}; }
+    std::string orderLeaseKey() const override { return "lease"; }
+};
+
+/// Processes that compete for the lease. As with a watch, they are told of the holder only when it changes.
+struct fixture {
+    static constexpr base::duration watchInterval = std::chrono::milliseconds(300);
+
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    testing::fake_kv_store store { clock, timers };
+    base::event_log log { { .output = [](std::string_view) {} } };
+    lease_decoder decoder;
+    std::vector<std::unique_ptr<base::random_source>> random;
+    std::vector<std::unique_ptr<order_lease_holder>> holders;
+    std::optional<std::uint64_t> observed; ///< Revision of the holder's entry; 0 if there was none.
+    /// Longest time for which a process took itself as the holder and the store had no lease of it.
+    base::duration longestUnfounded { 0 };
+    base::duration unfounded { 0 };
+
+    fixture(int count, std::vector<kv_fault> faults)
+    {
+        for (int i = 0; i < count; ++i) {
+            random.push_back(std::make_unique<base::random_source>(i + 1));
+            holders.push_back(std::make_unique<order_lease_holder>(store, decoder, timers, clock,
+                *random.back(), log, order_lease_holder::options { .process = "p" + std::to_string(i) }));
+        }
+        store.faults.assign(faults.begin(), faults.end());
+    }
+
+    void observe()
+    {
+        const auto entry = store.entries.find("lease");
+        const std::uint64_t revision = entry == store.entries.end() ? 0 : entry->second.revision;
+        if (observed == revision)
+            return;
+        observed = revision;
+        std::optional<order_lease> current;
+        if (revision != 0)
+            current = order_lease { .holder = entry->second.value, .token = entry->second.createdRevision };
+        for (const auto& holder : holders)
+            holder->leaseObserved(current);
+    }
+
+    bool hasLease(std::size_t number) const
+    {
+        const auto entry = store.entries.find("lease");
+        return entry != store.entries.end() && entry->second.value == "p" + std::to_string(number)
+            && entry->second.createdRevision == holders[number]->token();
+    }
+
+    bool someoneOrders() const
+    {
+        return std::ranges::any_of(holders, [](const auto& holder) { return holder->mayOrder(); });
+    }
+
+    void run(base::duration time)
+    {
+        constexpr base::duration step = std::chrono::milliseconds(10);
+        for (base::duration passed {}; passed < time; passed += step) {
+            if (clock.now().time_since_epoch() % watchInterval < step)
+                observe();
+            timers.advance(step);
+            store.endExpiredLeases();
+            bool isFounded = true;
+            for (std::size_t i = 0; i < holders.size(); ++i)
+                isFounded = isFounded && (!holders[i]->mayOrder() || hasLease(i));
+            unfounded = isFounded ? base::duration::zero() : unfounded + step;
+            longestUnfounded = std::max(longestUnfounded, unfounded);
+        }
+    }
+};
+
+/// Time within which a process takes a lease that is free, in a store that answers.
+constexpr base::duration takingLimit = std::chrono::seconds(3);
+
+} // namespace
+
+TEST_CASE("a lease whose write or look-up fails is competed for again, though nothing changes in the store")
+{
+    // Guards against relays that order nothing for good since the store refused one write of each.
+    for (const int processes : { 1, 2, 4 })
+        for (const kv_fault fault :
+            { kv_fault::Unavailable, kv_fault::LostRequest, kv_fault::LostAnswer, kv_fault::LateEffect })
+            for (std::size_t callsBefore = 0; callsBefore < 8; ++callsBefore)
+                for (const std::size_t faults : { 1, 2, 8 }) {
+                    CAPTURE(processes);
+                    CAPTURE(static_cast<int>(fault));
+                    CAPTURE(callsBefore);
+                    CAPTURE(faults);
+                    std::vector<kv_fault> list(callsBefore, kv_fault::None);
+                    list.insert(list.end(), faults, fault);
+                    fixture f(processes, std::move(list));
+                    for (int i = 0; i < 40 && !f.store.faults.empty(); ++i)
+                        f.run(std::chrono::milliseconds(500));
+                    f.run(f.store.lateBy + takingLimit);
+                    CHECK(f.someoneOrders());
+                    CHECK(f.longestUnfounded <= fixture::watchInterval);
+                }
+}
--- a/tests/libs/relay/store/presence_test.cpp
+++ b/tests/libs/relay/store/presence_test.cpp
@@ -40,6 +40,7 @@
         constexpr base::duration step = std::chrono::milliseconds(10);
         for (base::duration passed {}; passed < time; passed += step) {
             timers.advance(step);
+            store.endExpiredLeases();
             const base::time_point now = clock.now();
             if (store.entries.contains(process))
                 heldAt = now;
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -109,6 +109,17 @@
         m_removed[key] = ++m_revision;
     }
 
+    /// Ends the leases whose time is over. Any call does so as well.
+    void endExpiredLeases()
+    {
+        std::vector<std::uint64_t> expired;
+        for (const auto& [id, record] : m_leases)
+            if (record.end <= m_clock.now())
+                expired.push_back(id);
+        for (const auto id : expired)
+            endLease(id);
+    }
+
     void range(std::string_view prefix, std::string_view after, std::size_t limit,
         callback<std::vector<platform::kv_entry>> done) override
     {
@@ -221,16 +232,6 @@
         m_leases.erase(found);
     }
 
-    void endExpiredLeases()
-    {
-        std::vector<std::uint64_t> expired;
-        for (const auto& [id, record] : m_leases)
-            if (record.end <= m_clock.now())
-                expired.push_back(id);
-        for (const auto id : expired)
-            endLease(id);
-    }
-
     template <typename T> void call(callback<T> done, std::function<base::result<T>()> effect)
     {
         kv_fault fault = down ? kv_fault::Unavailable : kv_fault::None;
