Wait for callers that take their answers slowly before a planned stop ends

Cause: a session ends when its answer is in the buffer of the caller's connection. The process ended 0.1 s after its last session, and a closing connection was closed 2 s after the end of its answer, though its caller went on reading. Change: a stopping process waits for pending answers until the drain limit and 0.7 s beyond it; a closing connection is closed after 2 s without progress.

--- a/src/libs/relay/callers/caller_connection.cpp
+++ b/src/libs/relay/callers/caller_connection.cpp
@@ -387,10 +387,13 @@
     m_answerTaken = false;
     m_timer = m_loop.runAfter(limit, [this] {
         m_timer = 0;
+        const bool isTakingAnswer = m_answerTaken && pendingBytes() > 0; // It reads slowly, but goes on.
         if (m_state == state::Reading)
             rejectRequest(http_status::requestTimeout);
-        else if (m_state == state::Idle && m_answerTaken && pendingBytes() > 0)
-            startTimer(m_options.limits.idleTimeout); // The caller still reads the last answer.
+        else if (m_state == state::Idle && isTakingAnswer)
+            startTimer(m_options.limits.idleTimeout);
+        else if (m_state == state::Closing && isTakingAnswer)
+            startTimer(closeTimeout);
         else
             close();
     });
--- a/src/libs/relay/callers/caller_listener.cpp
+++ b/src/libs/relay/callers/caller_listener.cpp
@@ -141,6 +141,12 @@
     return connections;
 }
 
+bool caller_listener::hasPendingAnswers() const
+{
+    return std::ranges::any_of(
+        m_connections, [](const auto& entry) { return entry.first->pendingBytes() > 0; });
+}
+
 void caller_listener::closeAfterAnswer()
 {
     m_draining = true;
--- a/src/libs/relay/callers/caller_listener.h
+++ b/src/libs/relay/callers/caller_listener.h
@@ -37,6 +37,9 @@
 
     std::size_t connections() const { return m_open; }
 
+    /// Returns whether a caller has yet to take bytes of an answer.
+    bool hasPendingAnswers() const;
+
 private:
     static void onAccept(::evconnlistener* listener, int socket, ::sockaddr* peer, int length, void* self);
     static void onAcceptError(::evconnlistener* listener, void* self);
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -21,6 +21,9 @@
 
 constexpr base::duration housekeepingInterval = std::chrono::milliseconds(500);
 
+/// Interval in which a stopping process looks whether its callers have taken their answers.
+constexpr base::duration drainCheckInterval = std::chrono::milliseconds(20);
+
 /// Interval of the check for requests at unresponsive targets.
 constexpr base::duration responsivenessCheckInterval = std::chrono::milliseconds(100);
 
@@ -469,8 +472,16 @@
 
 void relay_server::finishDrainIfIdle()
 {
-    if (m_noticePeriodOver && m_sessions.empty())
-        finishDrain();
+    if (!m_noticePeriodOver || m_finished || !m_sessions.empty())
+        return;
+    if (!m_callers.hasPendingAnswers())
+        return finishDrain();
+    // A session ends when its answer is in the buffer of its connection; slow callers have yet to take it.
+    if (!std::exchange(m_drainCheckScheduled, true))
+        m_loop.runAfter(drainCheckInterval, [this] {
+            m_drainCheckScheduled = false;
+            finishDrainIfIdle();
+        });
 }
 
 void relay_server::finishDrain()
@@ -482,11 +493,19 @@
         sessions.push_back(key);
     for (relay_session* session : sessions)
         session->endForStop();
-    // Leaves time for the last answers and the revocation of the presence lease to be sent. Without it, the
-    // other processes would wait for the lease to expire.
-    constexpr base::duration lastSendTime = std::chrono::milliseconds(100);
+    // Without it, the other processes would wait for the lease to expire.
     m_presence.withdraw();
-    m_loop.runAfter(lastSendTime, [this] { m_loop.stop(); });
+    // Leaves time for the last answers and the revocation of the presence lease to be sent.
+    constexpr base::duration lastSendTime = std::chrono::milliseconds(100);
+    m_loop.runAfter(
+        lastSendTime, [this, stopBy = m_clock.now() + m_options.lastSendLimit] { stopWhenSent(stopBy); });
+}
+
+void relay_server::stopWhenSent(base::time_point stopBy)
+{
+    if (!m_callers.hasPendingAnswers() || m_clock.now() >= stopBy)
+        return m_loop.stop();
+    m_loop.runAfter(drainCheckInterval, [this, stopBy] { stopWhenSent(stopBy); });
 }
 
 } // namespace marigold::relay
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -64,6 +64,8 @@
     base::duration noticePeriod = std::chrono::milliseconds(2900);
     /// Longest duration of a graceful shutdown; requests that are still running are then aborted.
     base::duration drainLimit = std::chrono::seconds(7);
+    /// Longest time after that for callers that read slowly to take their answers.
+    base::duration lastSendLimit = std::chrono::milliseconds(700);
     part_quarantine::options quarantine = {};
     /// Requests that all processes together may send to a software version that has not been judged.
     exposure_bound exposure = {};
@@ -119,6 +121,8 @@
     void checkResponsiveness();
     void finishDrainIfIdle();
     void finishDrain();
+    /// Ends the event loop once the callers have taken all answers, at \a stopBy at the latest.
+    void stopWhenSent(base::time_point stopBy);
     void datagramReceived(std::string_view bytes);
     void targetEnded(const target_registration& target, std::string_view incarnation,
         const std::vector<lost_request>& requests);
@@ -183,6 +187,7 @@
     bool m_finished = false; ///< Only the revocation of the presence lease is outstanding.
     /// New requests are refused, since the load balancer must have detected the shutdown.
     bool m_noticePeriodOver = false;
+    bool m_drainCheckScheduled = false;
 };
 
 } // namespace marigold::relay
