Bound the last wait of a planned stop by the grace of the settings

A relay with a grace of one second could still have waited for slow callers when the platform killed it: the 0.7 s after the drain limit did not follow the setting. Change: the wait is seven tenths of what the drain limit leaves of the grace, 0.7 s with the platform's 8 s, as before.

--- a/src/programs/relay/main.cpp
+++ b/src/programs/relay/main.cpp
@@ -28,6 +28,17 @@
     return std::chrono::milliseconds(std::llround(1000 * std::min(limit, longestSeconds)));
 }
 
+/// Returns how long callers that read slowly may go on after the drain limit. The rest of the grace covers
+/// the delay of the signal.
+base::duration lastSendLimit(double graceSeconds)
+{
+    constexpr double share = 0.7;
+    constexpr std::chrono::duration<double> longest { 1 };
+    const std::chrono::duration<double> left
+        = std::chrono::duration<double>(graceSeconds) - drainLimit(graceSeconds);
+    return std::chrono::duration_cast<base::duration>(share * std::clamp(left, left.zero(), longest));
+}
+
 /// Bounds of the time within which a change must be in force: more frequent calls would overload the
 /// platform's store, and later changes would cost service even where the platform allows them.
 constexpr base::duration shortestChangeLimit = std::chrono::milliseconds(500);
@@ -55,6 +66,7 @@
         .loadReports = settings.loadReports,
         .spread = settings.spread,
         .drainLimit = drainLimit(settings.stopGraceSeconds),
+        .lastSendLimit = lastSendLimit(settings.stopGraceSeconds),
         .exposure = { .share = std::min(settings.exposureShare, 1.0), .slack = settings.exposureSlack },
         .rollback = settings.rollback,
         .admissionEnabled = settings.admissionEnabled,
