--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -40,6 +40,22 @@
     }
 };
 
+/// Returns the outcome of \a call to a server that answers as \a server says.
+base::result<http_response> outcomeOf(testing::raw_server::options server, http_call call)
+{
+    event_loop loop;
+    testing::raw_server remote(loop, std::move(server));
+    http_client client(loop);
+    base::result<http_response> outcome = http_response {};
+    call.to = { .address = "127.0.0.1", .port = remote.port };
+    client.send(std::move(call), [&](base::result<http_response> result) {
+        outcome = std::move(result);
+        loop.stop();
+    });
+    loop.run();
+    return outcome;
+}
+
 } // namespace
 
 TEST_CASE("a response without end is cut off")
@@ -88,50 +104,11 @@
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n";
     for (std::size_t size = 1; size < head.size(); ++size) {
         CAPTURE(size);
-        event_loop loop;
-        testing::raw_server server(loop, { .start = head.substr(0, size) });
-        http_client client(loop);
-        base::result<http_response> outcome = http_response {};
-        client.send({ .to = { .address = "127.0.0.1", .port = server.port } },
-            [&](base::result<http_response> result) {
-                outcome = std::move(result);
-                loop.stop();
-            });
-        loop.run();
+        const auto outcome = outcomeOf({ .start = head.substr(0, size) }, {});
         CHECK_FALSE(outcome);
     }
 }
 
-TEST_CASE("a response whose connection is reset while the request is still being written is an error")
-{
-    // Guards against a part of a body that is taken for all of it, since the write reports the reset.
-    const std::string start = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
-    for (const std::string& framing : { "", "Content-Length: 4000\r\n", "Transfer-Encoding: chunked\r\n" })
-        for (const std::size_t upload : { 100, 300'000, 24'000'000 })
-            for (const int delay : { 0, 1, 50 }) {
-                CAPTURE(framing);
-                CAPTURE(upload);
-                CAPTURE(delay);
-                event_loop loop;
-                testing::raw_server server(loop,
-                    { .start = start + framing + "\r\n"
-                            + (framing.starts_with("Transfer") ? "4\r\nhalf\r\n" : "half"),
-                        .endAfter = std::chrono::milliseconds(delay) });
-                http_client client(loop);
-                base::result<http_response> outcome = http_response {};
-                client.send({ .to = { .address = "127.0.0.1", .port = server.port },
-                                .method = "POST",
-                                .body = std::string(upload, 'u') },
-                    [&](base::result<http_response> result) {
-                        outcome = std::move(result);
-                        loop.stop();
-                    });
-                loop.run();
-                REQUIRE_FALSE(outcome);
-                CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
-            }
-}
-
 TEST_CASE("a success that the end of its connection ends before the request was written is an error")
 {
     // Guards against a part of a body that is taken for all of it: a server that ends closes its connections
@@ -139,40 +116,39 @@
     struct row {
         std::string head;
         std::size_t upload;
+        bool endsInOrder;
         bool complete;
     };
     const std::string ok = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
-    const std::string closes = "Connection: close\r\n";
+    const std::string closes = ok + "Connection: close\r\n";
+    const std::string framed = ok + "Content-Length: 4\r\n";
+    const std::string partial = ok + "Content-Length: 4000\r\n";
     const std::string refused = "HTTP/1.1 413 Too Large\r\nContent-Type: text/plain\r\n";
-    const std::string framed = "Content-Length: 4\r\n";
     constexpr std::size_t few = 100;
     constexpr std::size_t some = 1'000'000; // Fits into the buffer of the socket.
     constexpr std::size_t many = 24'000'000;
-    for (const row& item : { row { ok, few, true }, row { ok + closes, few, true }, row { ok, some, false },
-             row { ok + closes, some, false }, row { refused, some, true }, row { ok, many, false },
-             row { ok + closes, many, false }, row { ok + framed, few, true }, row { refused, few, true } }) {
-        CAPTURE(item.head);
-        CAPTURE(item.upload);
-        event_loop loop;
-        testing::raw_server server(loop,
-            { .start = item.head + "\r\nhalf",
-                .endAfter = std::chrono::milliseconds(20),
-                .endsInOrder = true });
-        http_client client(loop);
-        base::result<http_response> outcome = http_response {};
-        client.send({ .to = { .address = "127.0.0.1", .port = server.port },
-                        .method = "POST",
-                        .body = std::string(item.upload, 'u'),
-                        .timeout = std::chrono::seconds(2) },
-            [&](base::result<http_response> result) {
-                outcome = std::move(result);
-                loop.stop();
-            });
-        loop.run();
-        REQUIRE(outcome.has_value() == item.complete);
-        if (!outcome)
-            CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
-    }
+    for (const row& item :
+        { row { ok, few, true, true }, row { closes, few, true, true }, row { framed, few, true, true },
+            row { refused, few, true, true }, row { refused, some, true, true },
+            row { ok, some, true, false }, row { closes, some, true, false }, row { ok, many, true, false },
+            row { closes, many, true, false }, row { ok, few, false, false }, row { ok, some, false, false },
+            row { ok, many, false, false }, row { closes, many, false, false },
+            row { partial, few, false, false }, row { partial, many, false, false } })
+        for (const int delay : { 1, 20, 50 }) {
+            CAPTURE(item.head);
+            CAPTURE(item.upload);
+            CAPTURE(item.endsInOrder);
+            CAPTURE(delay);
+            const auto outcome = outcomeOf({ .start = item.head + "\r\nhalf",
+                                               .endAfter = std::chrono::milliseconds(delay),
+                                               .endsInOrder = item.endsInOrder },
+                { .method = "POST",
+                    .body = std::string(item.upload, 'u'),
+                    .timeout = std::chrono::seconds(2) });
+            REQUIRE(outcome.has_value() == item.complete);
+            if (!outcome)
+                CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
+        }
 }
 
 TEST_CASE("a response whose status is none is an error")
@@ -181,19 +157,10 @@
     for (const std::string status :
         { "000", "00", "0", "099", "99", "-200", "101", "103", "199", "600", "999", "2000", "", "abc" }) {
         CAPTURE(status);
-        event_loop loop;
-        testing::raw_server server(loop,
-            { .start = "HTTP/1.1 " + status
-                    + " Fine\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfake" });
-        http_client client(loop);
-        base::result<http_response> outcome = http_response {};
-        client.send(
-            { .to = { .address = "127.0.0.1", .port = server.port }, .timeout = std::chrono::seconds(2) },
-            [&](base::result<http_response> result) {
-                outcome = std::move(result);
-                loop.stop();
-            });
-        loop.run();
+        const auto outcome
+            = outcomeOf({ .start = "HTTP/1.1 " + status
+                                + " Fine\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfake" },
+                { .timeout = std::chrono::seconds(2) });
         REQUIRE_FALSE(outcome);
         CHECK(outcome.error().verdict == base::verdict::MayHaveRun);
     }
--- a/tests/libs/relay/context/context_reclaimer_test.cpp
+++ b/tests/libs/relay/context/context_reclaimer_test.cpp
@@ -1,5 +1,6 @@
 #include <relay/context/context_reclaimer.h>
 #include <support/fake_kv_store.h>
+#include <support/key_decoder.h>
 
 #include <doctest/doctest.h>
 
@@ -10,15 +11,6 @@
 
 namespace {
 
-class plain_decoder final : public state_decoder {
-public:
-    base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
-    state_item removed(std::string_view) const override { return {}; }
-    std::string processKey(std::string_view id) const override { return std::string(id); }
-    std::string quarantineKey(std::string_view) const override { return {}; }
-    std::string orderLeaseKey() const override { return "lease"; }
-};
-
 class freeing_source final : public context_source {
 public:
     std::set<std::string> freedScopes;
@@ -42,7 +34,7 @@
     testing::fake_kv_store store { clock, timers };
     base::random_source random { 1 };
     base::event_log log { { .output = [](std::string_view) {} } };
-    plain_decoder decoder;
+    testing::key_decoder decoder;
     order_lease_holder lease { store, decoder, timers, clock, random, log, { .process = "p" } };
     target_registry targets { clock, { .process = "self" } };
     context_catalog catalog { clock, {} };
--- a/tests/libs/relay/context/cut_off_process_test.cpp
+++ b/tests/libs/relay/context/cut_off_process_test.cpp
@@ -2,6 +2,7 @@
 #include <relay/exchange/load_exchange.h>
 #include <relay/store/presence.h>
 #include <support/fake_kv_store.h>
+#include <support/key_decoder.h>
 
 #include <doctest/doctest.h>
 
@@ -23,15 +24,6 @@
 /// Time in which a process in touch reads a change of the store.
 constexpr base::duration watchInterval = std::chrono::milliseconds(300);
 
-class process_decoder final : public state_decoder {
-public:
-    base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
-    state_item removed(std::string_view) const override { return {}; }
-    std::string processKey(std::string_view id) const override { return std::string(id); }
-    std::string quarantineKey(std::string_view) const override { return {}; }
-    std::string orderLeaseKey() const override { return "lease"; }
-};
-
 /// Process "p0", which alone uses the store of the fixture, and its peers, which are in touch with the
 /// platform's store unless it is down for all. The peers use new weights, p0 does not know of them.
 struct fleet {
@@ -44,7 +36,7 @@
     base::manual_clock clock;
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
-    process_decoder decoder;
+    testing::key_decoder decoder;
     presence registration { store, decoder, timers, clock, { .process = "p0" } };
     std::map<std::string, process> processes;
     std::map<std::string, net::endpoint> addresses;
--- a/tests/libs/relay/orders/order_lease_test.cpp
+++ b/tests/libs/relay/orders/order_lease_test.cpp
@@ -1,5 +1,6 @@
 #include <relay/orders/order_lease_holder.h>
 #include <support/fake_kv_store.h>
+#include <support/key_decoder.h>
 
 #include <doctest/doctest.h>
 
@@ -16,15 +17,6 @@
 
 namespace {
 
-class lease_decoder final : public state_decoder {
-public:
-    base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
-    state_item removed(std::string_view) const override { return {}; }
-    std::string processKey(std::string_view id) const override { return std::string(id); }
-    std::string quarantineKey(std::string_view) const override { return {}; }
-    std::string orderLeaseKey() const override { return "lease"; }
-};
-
 /// Processes that compete for the lease. As with a watch, they are told of the holder only when it changes.
 struct fixture {
     static constexpr base::duration watchInterval = std::chrono::milliseconds(300);
@@ -33,7 +25,7 @@
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
     base::event_log log { { .output = [](std::string_view) {} } };
-    lease_decoder decoder;
+    testing::key_decoder decoder;
     std::vector<std::unique_ptr<base::random_source>> random;
     std::vector<std::unique_ptr<order_lease_holder>> holders;
     std::optional<std::uint64_t> observed; ///< Revision of the holder's entry; 0 if there was none.
--- a/tests/libs/relay/store/presence_test.cpp
+++ b/tests/libs/relay/store/presence_test.cpp
@@ -1,5 +1,6 @@
 #include <relay/store/presence.h>
 #include <support/fake_kv_store.h>
+#include <support/key_decoder.h>
 
 #include <doctest/doctest.h>
 
@@ -15,21 +16,12 @@
 
 const std::string process = "p0";
 
-class process_decoder final : public state_decoder {
-public:
-    base::result<state_item> decode(const platform::kv_entry&) const override { return state_item {}; }
-    state_item removed(std::string_view) const override { return {}; }
-    std::string processKey(std::string_view id) const override { return std::string(id); }
-    std::string quarantineKey(std::string_view) const override { return {}; }
-    std::string orderLeaseKey() const override { return "lease"; }
-};
-
 /// A process that registers in a store whose first calls have the given faults.
 struct fixture {
     base::manual_clock clock;
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
-    process_decoder decoder;
+    testing::key_decoder decoder;
     presence registration { store, decoder, timers, clock, { .process = process } };
     std::optional<base::time_point> heldAt; ///< When the store last had the registration.
     /// Longest time for which the process took itself as known and the store had no registration.
