Let processes that lose the competition for the lease leave the store alone

Cause: every process that lost tried again each 0.4 s until its watch had told it of the holder, two write calls each time, which exceeds the rate of the store when hundreds do it at once. Evidence: order_lease_test: 300 processes that are not told made 3,570 writes in 3 s. Change: a conflict ends the attempt, since the key that it met is a change that the watch tells; other failures double the delay, twice.

--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -44,6 +44,7 @@
         scheduleCompete();
         return;
     }
+    m_failures = 0;
     if (m_token != 0 && current->token != m_token && current->token > m_token)
         dropLease("other_holder");
 }
@@ -58,12 +59,19 @@
     m_timers.runAfter(wait + base::duration(m_random.below(jitter + 1)), [this] { compete(); });
 }
 
+base::duration order_lease_holder::retryDelay() const
+{
+    constexpr int maxDoublings = 2;
+    return m_options.retryDelay * (1 << std::min(m_failures, maxDoublings));
+}
+
 void order_lease_holder::competeLater()
 {
     m_competing = false;
     if (!m_isVacant)
         return;
-    m_competeFrom = std::max(m_competeFrom, m_clock.now() + m_options.retryDelay);
+    m_competeFrom = std::max(m_competeFrom, m_clock.now() + retryDelay());
+    ++m_failures;
     scheduleCompete();
 }
 
@@ -119,6 +127,11 @@
             if (failure.verdict != base::verdict::NotRun
                 || (failure.reason == base::error_reason::Conflict && m_isWriteUnanswered))
                 return verifyOwnership(sentAt);
+            // Another process has it. Its key is a change that the watch tells, as is the end of that key.
+            if (failure.reason == base::error_reason::Conflict) {
+                m_competing = false;
+                return;
+            }
             if (failure.reason == base::error_reason::NotFound)
                 forgetLease();
             competeLater();
@@ -147,6 +160,7 @@
     m_competing = false;
     m_isVacant = false;
     m_isWriteUnanswered = false;
+    m_failures = 0;
     m_token = token;
     m_lease.confirm(sentAt);
     m_mayOrderFrom = m_clock.now() + m_options.takeoverDelay;
--- a/src/libs/relay/orders/order_lease_holder.h
+++ b/src/libs/relay/orders/order_lease_holder.h
@@ -27,7 +27,8 @@
         base::duration takeoverDelay { 0 };
         /// Processes that observe the end of the lease compete after a random part of this time.
         base::duration jitter = std::chrono::milliseconds(250);
-        /// Time after a failed attempt in which this process does not compete. A new holder is known by then.
+        /// Time after a failed attempt in which this process does not compete. It doubles twice, since
+        /// all processes of a large fleet may compete in a store that refuses calls beyond its rate.
         base::duration retryDelay = std::chrono::milliseconds(400);
     };
 
@@ -54,6 +55,7 @@
 
 private:
     void scheduleCompete();
+    base::duration retryDelay() const;
     /// Ends an attempt that has failed; the next one is scheduled here, since the store may never change.
     void competeLater();
     void compete();
@@ -78,6 +80,7 @@
     bool m_isVacant = false;
     bool m_competing = false;
     bool m_released = false;
+    int m_failures = 0; ///< Failed attempts since a holder was known.
     std::uint64_t m_leaseId = 0; ///< Of all attempts until the store says that it has ended.
     /// A write under that lease got no reply, so that the key may be there or come later.
     bool m_isWriteUnanswered = false;
--- a/tests/libs/relay/orders/order_lease_test.cpp
+++ b/tests/libs/relay/orders/order_lease_test.cpp
@@ -114,6 +114,21 @@
                 }
 }
 
+TEST_CASE("processes that lose the competition for the lease leave the store alone")
+{
+    // Guards against a large fleet that exceeds the rate of the store with attempts until each process has
+    // read who holds the lease.
+    constexpr std::size_t processes = 300;
+    fixture f(processes, {});
+    f.observe();
+    for (int i = 0; i < 300; ++i)
+        f.timers.advance(std::chrono::milliseconds(10)); // The watch tells nothing meanwhile.
+    CHECK(f.someoneOrders());
+    constexpr std::size_t callsPerAttempt = 2;
+    constexpr std::size_t renewals = 6;
+    CHECK(f.store.writes <= callsPerAttempt * processes + renewals);
+}
+
 TEST_CASE("a late write of the lease does not count as taken under another lease")
 {
     // Guards against a process that goes on ordering after the key, which hangs on an earlier lease, has
