--- a/src/libs/platform/kv_store.h
+++ b/src/libs/platform/kv_store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "state_era.h"
+
 #include <base/base.h>
 
 #include <cstdint>
@@ -55,6 +57,12 @@
 
     virtual ~kv_store() = default;
 
+    /// Returns the highest era of the state that a reply has told; 0 if the service tells none.
+    virtual std::uint64_t era() const { return 0; }
+
+    /// Sets the function that is called when a reply tells a higher era, before that reply is delivered.
+    virtual void setEraObserver(state_era::observer) { }
+
     /// Reads \a key; the result is empty if it is absent.
     virtual void get(std::string_view key, callback<std::optional<kv_entry>> done) = 0;
 
--- a/src/libs/platform/platform.h
+++ b/src/libs/platform/platform.h
@@ -10,4 +10,5 @@
 #include "http_vm_list.h"
 #include "kv_store.h"
 #include "model_engine.h"
+#include "state_era.h"
 #include "vm_list.h"
--- /dev/null
+++ b/src/libs/platform/state_era.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+namespace marigold::platform {
+
+/// Follows the eras that the replies of a service state.
+///
+/// A service that has lost changes which it had confirmed, since it was restored from a copy, begins a higher
+/// era. Revisions and numbers of leases then go back and are given out again: those of an earlier era say
+/// nothing about the present state.
+class state_era {
+public:
+    using observer = std::function<void(std::uint64_t before, std::uint64_t now)>;
+
+    /// Returns the highest era that a reply has stated; 0 if none has.
+    std::uint64_t current() const { return m_current; }
+
+    /// Sets the function that is called when a reply states a higher era, before that reply is delivered.
+    void setObserver(observer raised) { m_raised = std::move(raised); }
+
+    /// Records that a reply states \a era, or none if it is 0.
+    void replyReceived(std::uint64_t era)
+    {
+        if (era <= m_current)
+            return;
+        const std::uint64_t before = std::exchange(m_current, era);
+        if (m_raised)
+            m_raised(before, era);
+    }
+
+private:
+    std::uint64_t m_current = 0;
+    observer m_raised;
+};
+
+} // namespace marigold::platform
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -77,7 +77,10 @@
 inline constexpr base::event_definition leadershipChanged { .id = "MB-2010",
     .level = base::log_level::Info,
     .name = "relay_order_lease",
-    .meaning = "This process acquired or lost the lease on orders to targets; fields: held, token, reason.",
+    .meaning
+    = "This process acquired or lost the lease on orders to targets; fields: held, token, lease "
+      "(its number in the platform's store), era (of that store), reason (taken: by the reply to its "
+      "write; found: by a look-up after a lost reply; else why it ended).",
     .action = "" };
 
 inline constexpr base::event_definition orderSent { .id = "MB-2011",
@@ -304,11 +307,31 @@
       "of the time limit; fields: revision, behind_ms, polls (before the reply).",
     .action = "Check the path of this process to the platform's store." };
 
+inline constexpr base::event_definition storeOlder { .id = "MB-2036",
+    .level = base::log_level::Warning,
+    .name = "relay_store_older",
+    .meaning
+    = "The platform's store has lost changes that it had confirmed: a reply tells a higher era, or a "
+      "lower revision than its call named; fields: era_before, era, revision_before (that this "
+      "process has read), revision (of the reply, 0 if it is not known).",
+    .action = "Find out why the store was restored from a copy." };
+
+inline constexpr base::event_definition leaseDisputed { .id = "MB-2037",
+    .level = base::log_level::Warning,
+    .name = "relay_order_lease_disputed",
+    .meaning
+    = "The state of the platform's store contradicts this process, which takes itself as the holder of "
+      "the lease on orders; fields: token, lease, holder (in the store; empty if there is none), "
+      "holder_token.",
+    .action
+    = "Look for two holders: compare token and holder of MB-2010 and MB-2011 in the logs of all relays." };
+
 inline constexpr std::array allEvents { requestEnded, attemptFailed, configInForce, stateRejected,
     targetChanged, storeLost, storeRegained, domainsExcluded, versionNamed, leadershipChanged, orderSent,
     processState, contextFreed, linesDropped, processPaused, requestPlaced, targetEnded, partBlocked,
     partReleased, partTried, strayBytes, memoryShort, descriptorsShort, limitsInForce, requestRefusedEarly,
-    choicesSpread, sentinelsChanged, watchOverdue, changeReadLate, hedgeSent, hedgeEnded, hedgeDenied,
-    rolloutRequested, rolloutPhase, rolloutBad, rolloutStatus, rolloutStatusWritten, rolloutWorse };
+    choicesSpread, sentinelsChanged, watchOverdue, changeReadLate, storeOlder, leaseDisputed, hedgeSent,
+    hedgeEnded, hedgeDenied, rolloutRequested, rolloutPhase, rolloutBad, rolloutStatus, rolloutStatusWritten,
+    rolloutWorse };
 
 } // namespace marigold::relay::events
--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -38,6 +38,7 @@
 void order_lease_holder::leaseObserved(const std::optional<order_lease>& current)
 {
     m_isVacant = !current;
+    reportContradiction(current);
     if (m_isVacant) {
         if (m_token != 0 && !m_lease.isValid())
             dropLease("lease_ended");
@@ -49,6 +50,24 @@
         dropLease("other_holder");
 }
 
+void order_lease_holder::reportContradiction(const std::optional<order_lease>& current) const
+{
+    if (m_token == 0 || (current && (current->holder == m_options.process || current->token < m_token)))
+        return;
+    m_log.write(events::leaseDisputed,
+        { { "token", std::to_string(m_token) }, { "lease", std::to_string(m_leaseId) },
+            { "holder", current ? current->holder : std::string() },
+            { "holder_token", std::to_string(current ? current->token : 0) } });
+}
+
+void order_lease_holder::reportHeld(std::string_view held, std::string_view reason) const
+{
+    m_log.write(events::leadershipChanged,
+        { { "held", std::string(held) }, { "token", std::to_string(m_token) },
+            { "lease", std::to_string(m_leaseId) }, { "era", std::to_string(m_store.era()) },
+            { "reason", std::string(reason) } });
+}
+
 void order_lease_holder::scheduleCompete()
 {
     if (m_released || m_competing || m_token != 0)
@@ -120,7 +139,7 @@
                     .lease = m_leaseId },
         [this, sentAt](base::result<std::uint64_t> token) {
             if (token)
-                return acquired(sentAt, *token);
+                return acquired(sentAt, *token, "taken");
             const base::error& failure = token.error();
             m_isWriteUnanswered = m_isWriteUnanswered || failure.verdict != base::verdict::NotRun;
             // The key that is there may be that of an earlier attempt.
@@ -143,7 +162,7 @@
     m_store.get(
         m_decoder.orderLeaseKey(), [this, sentAt](base::result<std::optional<platform::kv_entry>> entry) {
             if (entry && *entry && (*entry)->value == m_options.process)
-                return acquired(sentAt, (*entry)->createdRevision);
+                return acquired(sentAt, (*entry)->createdRevision, "found");
             // The write may still be carried out.
             competeLater();
         });
@@ -155,7 +174,7 @@
     m_isWriteUnanswered = false;
 }
 
-void order_lease_holder::acquired(base::time_point sentAt, std::uint64_t token)
+void order_lease_holder::acquired(base::time_point sentAt, std::uint64_t token, std::string_view reason)
 {
     m_competing = false;
     m_isVacant = false;
@@ -164,8 +183,7 @@
     m_token = token;
     m_lease.confirm(sentAt);
     m_mayOrderFrom = m_clock.now() + m_options.takeoverDelay;
-    m_log.write(events::leadershipChanged,
-        { { "held", "yes" }, { "token", std::to_string(token) }, { "reason", "taken" } });
+    reportHeld("yes", reason);
     scheduleRenewal();
 }
 
@@ -193,8 +211,7 @@
 
 void order_lease_holder::dropLease(std::string_view reason)
 {
-    m_log.write(events::leadershipChanged,
-        { { "held", "no" }, { "token", std::to_string(m_token) }, { "reason", std::string(reason) } });
+    reportHeld("no", reason);
     m_token = 0;
     m_lease.end();
     forgetLease(); // Without its key, the lease has ended or been replaced.
--- a/src/libs/relay/orders/order_lease_holder.h
+++ b/src/libs/relay/orders/order_lease_holder.h
@@ -54,6 +54,9 @@
     std::uint64_t token() const { return m_token; }
 
 private:
+    /// Logs that the store names another holder although this process takes itself as the holder.
+    void reportContradiction(const std::optional<order_lease>& current) const;
+    void reportHeld(std::string_view held, std::string_view reason) const;
     void scheduleCompete();
     base::duration retryDelay() const;
     /// Ends an attempt that has failed; the next one is scheduled here, since the store may never change.
@@ -62,7 +65,7 @@
     void takeLease();
     void renewForWrite();
     void writeKey(base::time_point sentAt);
-    void acquired(base::time_point sentAt, std::uint64_t token);
+    void acquired(base::time_point sentAt, std::uint64_t token, std::string_view reason);
     void verifyOwnership(base::time_point sentAt);
     void forgetLease();
     void scheduleRenewal();
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -196,6 +196,7 @@
     m_targets.setFirstPaceObserver([this](const target_registration& target) {
         m_log.write(events::choicesSpread, { { "service", target.service }, { "target", target.id } });
     });
+    m_store.setEraObserver([this](std::uint64_t before, std::uint64_t now) { eraRaised(before, now); });
     m_guard.start();
     m_loadExchange.start();
     m_quarantineExchange.start();
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -111,6 +111,7 @@
     void reportLimit(limit_action action);
     void answerReadiness(caller_connection& caller);
     void answerMetrics(caller_connection& caller);
+    void eraRaised(std::uint64_t before, std::uint64_t now);
     void setConfig(std::shared_ptr<const relay_config> config);
     void applyExcluded();
     void applyProcesses();
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -67,6 +67,15 @@
     void operator()(const order_lease& lease) const { self.m_lease.leaseObserved(lease); }
 };
 
+void relay_server::eraRaised(std::uint64_t before, std::uint64_t now)
+{
+    if (before == 0)
+        return; // The first reply.
+    m_log.write(events::storeOlder,
+        { { "era_before", std::to_string(before) }, { "era", std::to_string(now) },
+            { "revision_before", std::to_string(m_follower.revision()) }, { "revision", "0" } });
+}
+
 void relay_server::changed(const state_item& item)
 {
     std::visit(state_visitor { *this }, item);
--- a/src/libs/relay/store/counted_store.h
+++ b/src/libs/relay/store/counted_store.h
@@ -15,6 +15,11 @@
     {
     }
 
+    std::uint64_t era() const override { return m_store.era(); }
+    void setEraObserver(platform::state_era::observer raised) override
+    {
+        m_store.setEraObserver(std::move(raised));
+    }
     void get(std::string_view key, callback<std::optional<platform::kv_entry>> done) override;
     void put(platform::kv_write write, callback<std::uint64_t> done) override;
     void remove(std::string_view key, std::uint64_t expectedRevision, callback<void> done) override;
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -50,6 +50,7 @@
         if (!snapshot)
             return callFailed(snapshot.error());
         callSucceeded();
+        reportOlderState(m_revision, snapshot->revision);
         apply(*snapshot);
         watch();
     });
@@ -117,12 +118,13 @@
     m_readBegan = m_watchBegan;
     m_watchWait = m_schedule.waitLimit();
     m_store.watch(m_options.prefix, m_revision, m_watchWait,
-        [this, number = ++m_watch](base::result<platform::kv_watch_batch> batch) {
+        [this, number = ++m_watch, named = m_revision](base::result<platform::kv_watch_batch> batch) {
             if (number != m_watch)
                 return;
             if (!batch)
                 return callFailed(batch.error());
             callSucceeded();
+            reportOlderState(named, batch->revision);
             apply(*batch, m_clock.now());
             m_phase = phase::Gathering;
             m_timers.runAfter(m_schedule.interval(), [this, number] {
@@ -198,6 +200,16 @@
         m_schedule.urgentChangeRead();
 }
 
+void state_follower::reportOlderState(std::uint64_t named, std::uint64_t replied) const
+{
+    if (replied >= named)
+        return;
+    const std::string era = std::to_string(m_store.era());
+    m_log.write(events::storeOlder,
+        { { "era_before", era }, { "era", era }, { "revision_before", std::to_string(named) },
+            { "revision", std::to_string(replied) } });
+}
+
 void state_follower::callSucceeded()
 {
     m_repliedAt = m_clock.now();
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -76,6 +76,9 @@
     /// Returns true if a snapshot has been read.
     bool hasState() const { return m_hasState; }
 
+    /// Returns the revision of the store up to which this process has read.
+    std::uint64_t revision() const { return m_revision; }
+
     /// Returns true if the latest call succeeded.
     bool isReachable() const { return m_reachable; }
 
@@ -96,6 +99,8 @@
     /// Applies \a batch unless a later one has been applied. It states what the store had at \a asOf.
     void apply(const platform::kv_watch_batch& batch, base::time_point asOf);
     void reportLateChange();
+    /// Logs a reply with a lower revision than \a named, that of its call.
+    void reportOlderState(std::uint64_t named, std::uint64_t replied) const;
     void callFailed(const base::error& failure);
     void noteFailure(const base::error& failure);
     void callSucceeded();
