--- a/src/libs/platform/kv_store.h
+++ b/src/libs/platform/kv_store.h
@@ -20,6 +20,7 @@
     std::uint64_t revision = 0; ///< Global, increases with every write to the service.
     /// Revision that created the key; 0 if the service does not report it.
     std::uint64_t createdRevision = 0;
+    std::uint64_t lease = 0; ///< The entry is deleted when this lease ends; 0 for none.
 };
 
 /// A write, conditional if `expectedRevision` is set.
--- a/src/libs/platform/state_era.h
+++ b/src/libs/platform/state_era.h
@@ -21,14 +21,17 @@
     /// Sets the function that is called when a reply states a higher era, before that reply is delivered.
     void setObserver(observer raised) { m_raised = std::move(raised); }
 
-    /// Records that a reply states \a era, or none if it is 0.
-    void replyReceived(std::uint64_t era)
+    /// Records a reply that states \a era, or none if it is 0, to a call that was sent when \a sentIn was the
+    /// present era. Returns false if the reply does not speak of the present state: it comes from an earlier
+    /// era, or its call named revisions and leases of one.
+    bool replyReceived(std::uint64_t sentIn, std::uint64_t era)
     {
-        if (era <= m_current)
-            return;
-        const std::uint64_t before = std::exchange(m_current, era);
-        if (m_raised)
-            m_raised(before, era);
+        if (era > m_current) {
+            const std::uint64_t before = std::exchange(m_current, era);
+            if (m_raised)
+                m_raised(before, era);
+        }
+        return era == 0 || (era == m_current && (sentIn == 0 || sentIn == m_current));
     }
 
 private:
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -38,6 +38,25 @@
     std::size_t writes = 0;
     std::map<std::string, platform::kv_entry, std::less<>> entries;
 
+    std::uint64_t era() const override { return m_era; }
+
+    /// Restores the service from \a earlier, a copy of `state()`: what was written since is lost, and
+    /// revisions and numbers of leases are given out again.
+    struct state_copy;
+    state_copy state() const;
+    void restore(const state_copy& earlier);
+
+    /// Counts \a changes of other clients.
+    void advanceRevision(std::uint64_t changes) { m_revision += changes; }
+
+    /// Lets a call end without a reply, which is known after `delay`.
+    template <typename T> void failLater(callback<T> done)
+    {
+        m_scheduler.runAfter(delay, [done = std::move(done)] {
+            done(base::mayHaveRun(base::error_reason::Unavailable, "response lost"));
+        });
+    }
+
     void get(std::string_view key, callback<std::optional<platform::kv_entry>> done) override
     {
         ++reads;
@@ -66,7 +85,8 @@
                 entries[write.key] = { .key = write.key,
                     .value = write.value,
                     .revision = m_revision,
-                    .createdRevision = created == 0 ? m_revision : created };
+                    .createdRevision = created == 0 ? m_revision : created,
+                    .lease = write.lease };
                 // The end of a lease deletes only keys whose last write named it.
                 for (auto& [id, record] : m_leases)
                     std::erase(record.keys, write.key);
@@ -261,10 +281,40 @@
 
     base::clock& m_clock;
     base::scheduler& m_scheduler;
+    std::uint64_t m_era = 1;
     std::uint64_t m_revision = 0;
     std::uint64_t m_lastLease = 0;
     std::map<std::string, std::uint64_t> m_removed; ///< Revision of the last deletion by key.
     std::map<std::uint64_t, lease_record> m_leases;
 };
 
+struct fake_kv_store::state_copy {
+    std::map<std::string, platform::kv_entry, std::less<>> entries;
+    std::uint64_t revision;
+    std::uint64_t lastLease;
+    std::map<std::string, std::uint64_t> removed;
+    std::map<std::uint64_t, lease_record> leases;
+};
+
+inline fake_kv_store::state_copy fake_kv_store::state() const
+{
+    return { .entries = entries,
+        .revision = m_revision,
+        .lastLease = m_lastLease,
+        .removed = m_removed,
+        .leases = m_leases };
+}
+
+inline void fake_kv_store::restore(const state_copy& earlier)
+{
+    ++m_era;
+    entries = earlier.entries;
+    m_revision = earlier.revision;
+    m_lastLease = earlier.lastLease;
+    m_removed = earlier.removed;
+    m_leases = earlier.leases;
+    for (auto& [id, record] : m_leases)
+        record.end = m_clock.now() + record.timeToLive;
+}
+
 } // namespace marigold::testing
