--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -36,14 +36,17 @@
     return isHeld() && m_clock.now() >= m_mayOrderFrom;
 }
 
-void order_lease_holder::leaseObserved(const std::optional<order_lease>& current)
+void order_lease_holder::leaseObserved(const std::optional<order_lease>& current, std::uint64_t revision)
 {
     noteEra();
     m_observed = current;
     m_isVacant = !current;
     reportContradiction();
     if (m_isVacant) {
-        if (m_token != 0 && !m_lease.isValid())
+        // The state may be older than the key of this process.
+        if (m_token != 0 && tokenOf(revision) >= m_token)
+            dropLease("key_gone");
+        else if (m_token != 0 && !m_lease.isValid())
             dropLease("lease_ended");
         scheduleCompete();
         return;
--- a/src/libs/relay/orders/order_lease_holder.h
+++ b/src/libs/relay/orders/order_lease_holder.h
@@ -37,8 +37,8 @@
     order_lease_holder(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers,
         const base::clock& time, base::random_source& random, const base::event_log& log, options opts);
 
-    /// Updates the holder of the lease according to the store; empty if there is none.
-    void leaseObserved(const std::optional<order_lease>& current);
+    /// Updates the holder of the lease according to the store at \a revision; empty if there is none.
+    void leaseObserved(const std::optional<order_lease>& current, std::uint64_t revision);
 
     /// Releases the lease because the process stops.
     void release();
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -64,7 +64,10 @@
 
     void operator()(const rollout_status& status) const { self.m_rollouts.statusObserved(status); }
 
-    void operator()(const order_lease& lease) const { self.m_lease.leaseObserved(lease); }
+    void operator()(const order_lease& lease) const
+    {
+        self.m_lease.leaseObserved(lease, self.m_follower.revision());
+    }
 };
 
 void relay_server::eraRaised(std::uint64_t before, std::uint64_t now)
@@ -111,7 +114,7 @@
     } else if (const auto* entry = std::get_if<quarantine_entry>(&item)) {
         m_quarantineExchange.withdrawn(entry->key);
     } else if (std::holds_alternative<order_lease>(item)) {
-        m_lease.leaseObserved({});
+        m_lease.leaseObserved({}, m_follower.revision());
     } else if (const auto* request = std::get_if<rollout_request>(&item)) {
         m_rollouts.requestObserved(*request, true);
     } else if (const auto* status = std::get_if<rollout_status>(&item)) {
@@ -148,7 +151,7 @@
     applyExcluded();
     applyProcesses();
     if (!leaseHeld)
-        m_lease.leaseObserved({});
+        m_lease.leaseObserved({}, m_follower.revision());
 }
 
 } // namespace marigold::relay
--- a/tests/libs/relay/context/context_reclaimer_test.cpp
+++ b/tests/libs/relay/context/context_reclaimer_test.cpp
@@ -60,7 +60,7 @@
                     .events
                     = { { .stored = true, .scope = scope(version), .partId = "part", .tokens = 10 } } });
         if (holdsLease)
-            lease.leaseObserved({});
+            lease.leaseObserved({}, 0);
         if (hasRunForLong)
             run(context_reclaimer::options().startDelay + std::chrono::seconds(1));
     }
@@ -151,7 +151,7 @@
 {
     // Guards against freeing context that a process fetches of which this one has never known.
     fixture f(false, false);
-    f.lease.leaseObserved({});
+    f.lease.leaseObserved({}, 0);
     f.put(0, 2);
     f.put(1, 2);
     f.run(std::chrono::milliseconds(4900));
--- a/tests/libs/relay/orders/order_lease_test.cpp
+++ b/tests/libs/relay/orders/order_lease_test.cpp
@@ -55,7 +55,7 @@
             current = order_lease { .holder = entry->second.value,
                 .createdRevision = entry->second.createdRevision };
         for (const auto& holder : holders)
-            holder->leaseObserved(current);
+            holder->leaseObserved(current, store.revision());
     }
 
     bool hasLease(std::size_t number) const
@@ -130,6 +130,21 @@
     CHECK(f.store.writes <= callsPerAttempt * processes + renewals);
 }
 
+TEST_CASE("a holder whose key has gone from the store stops ordering, though its lease is renewed")
+{
+    // Guards against a process that orders without a key while another one takes the lease.
+    for (const int processes : { 1, 3 }) {
+        CAPTURE(processes);
+        fixture f(processes, {});
+        f.run(std::chrono::seconds(2));
+        REQUIRE(f.someoneOrders());
+        f.store.erase("lease");
+        f.run(std::chrono::seconds(5));
+        CHECK(f.someoneOrders());
+        CHECK(f.longestUnfounded <= fixture::watchInterval);
+    }
+}
+
 TEST_CASE("a late write of the lease does not count as taken under another lease")
 {
     // Guards against a process that goes on ordering after the key, which hangs on an earlier lease, has
--- a/tests/libs/relay/orders/orders_test.cpp
+++ b/tests/libs/relay/orders/orders_test.cpp
@@ -171,7 +171,7 @@
                     .createdRevision = entry->second.createdRevision };
             for (std::size_t i = 0; i < processes.size(); ++i)
                 if (!isolated[i])
-                    processes[i]->lease.leaseObserved(current);
+                    processes[i]->lease.leaseObserved(current, store.revision());
         }
     }
 
--- a/tests/libs/relay/orders/restored_store_test.cpp
+++ b/tests/libs/relay/orders/restored_store_test.cpp
@@ -58,7 +58,7 @@
 
     void read(process& reader)
     {
-        reader.view.get("lease", [&reader](base::result<std::optional<platform::kv_entry>> entry) {
+        reader.view.get("lease", [this, &reader](base::result<std::optional<platform::kv_entry>> entry) {
             if (!entry)
                 return;
             const std::pair state(reader.view.era(), *entry ? (*entry)->revision : 0);
@@ -68,7 +68,7 @@
             if (*entry)
                 current
                     = order_lease { .holder = (*entry)->value, .createdRevision = (*entry)->createdRevision };
-            reader.holder.leaseObserved(current);
+            reader.holder.leaseObserved(current, store.revision());
         });
     }
 
--- a/tests/libs/relay/rollout/rollout_control_test.cpp
+++ b/tests/libs/relay/rollout/rollout_control_test.cpp
@@ -174,7 +174,8 @@
     {
         item.lease.leaseObserved(lease ? std::optional(order_lease {
                                      .holder = lease->value, .createdRevision = lease->createdRevision })
-                                       : std::nullopt);
+                                       : std::nullopt,
+            store.revision());
         if (request.revision != 0)
             item.rollouts.requestObserved(request, true);
         const auto decoded = status ? decoder.decode(*status) : state_item();
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -40,6 +40,8 @@
 
     std::uint64_t era() const override { return m_era; }
 
+    std::uint64_t revision() const { return m_revision; }
+
     /// Lets the replies state eras, from \a first on.
     void stateEras(std::uint64_t first = 1) { m_era = first; }
 
