--- a/tests/libs/relay/orders/order_lease_test.cpp
+++ b/tests/libs/relay/orders/order_lease_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +33,8 @@
     /// Longest time for which a process took itself as the holder and the store had no lease of it.
     base::duration longestUnfounded { 0 };
     base::duration unfounded { 0 };
+    std::map<std::uint64_t, std::size_t> holderOfToken;
+    int sharedTokens = 0; ///< Steps in which a process could order with the token of another one.
 
     fixture(int count, std::vector<kv_fault> faults)
     {
@@ -79,8 +82,12 @@
             timers.advance(step);
             store.endExpiredLeases();
             bool isFounded = true;
-            for (std::size_t i = 0; i < holders.size(); ++i)
-                isFounded = isFounded && (!holders[i]->mayOrder() || hasLease(i));
+            for (std::size_t i = 0; i < holders.size(); ++i) {
+                if (!holders[i]->mayOrder())
+                    continue;
+                isFounded = isFounded && hasLease(i);
+                sharedTokens += holderOfToken.emplace(holders[i]->token(), i).first->second == i ? 0 : 1;
+            }
             unfounded = isFounded ? base::duration::zero() : unfounded + step;
             longestUnfounded = std::max(longestUnfounded, unfounded);
         }
@@ -112,6 +119,7 @@
                     f.run(f.store.lateBy + takingLimit);
                     CHECK(f.someoneOrders());
                     CHECK(f.longestUnfounded == base::duration::zero());
+                    CHECK(f.sharedTokens == 0);
                 }
 }
 
@@ -176,5 +184,6 @@
         f.run(std::chrono::seconds(5));
         RC_ASSERT(f.someoneOrders());
         RC_ASSERT(f.longestUnfounded == base::duration::zero());
+        RC_ASSERT(f.sharedTokens == 0);
     }));
 }
