--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -74,6 +74,7 @@
     m_log.write(events::storeOlder,
         { { "era_before", std::to_string(before) }, { "era", std::to_string(now) },
             { "revision_before", std::to_string(m_follower.revision()) }, { "revision", "0" } });
+    m_follower.eraRaised();
 }
 
 void relay_server::changed(const state_item& item)
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -23,6 +23,7 @@
     , m_decoder(decoder)
     , m_timers(timers)
     , m_clock(time)
+    , m_random(random)
     , m_log(log)
     , m_observer(observer)
     , m_options(std::move(opts))
@@ -46,14 +47,35 @@
 {
     m_phase = phase::Snapshot;
     ++m_snapshot;
-    m_store.snapshot(m_options.prefix, [this](base::result<platform::kv_snapshot> snapshot) {
-        if (!snapshot)
-            return callFailed(snapshot.error());
-        callSucceeded();
-        reportOlderState(m_revision, snapshot->revision);
-        apply(*snapshot);
-        watch();
-    });
+    m_store.snapshot(
+        m_options.prefix, [this, number = ++m_step](base::result<platform::kv_snapshot> snapshot) {
+            if (number != m_step)
+                return;
+            if (!snapshot)
+                return callFailed(snapshot.error());
+            callSucceeded();
+            reportOlderState(m_revision, snapshot->revision);
+            apply(*snapshot);
+            watch();
+        });
+}
+
+void state_follower::eraRaised()
+{
+    if (!m_hasState)
+        return;
+    discardRevision();
+    const auto spread = static_cast<std::uint64_t>(shareOfLimit(m_options.rereadSpreadShare).count());
+    // A store that refuses calls is not asked sooner for its new era.
+    callAt(std::max(m_clock.now() + base::duration(m_random.below(spread + 1)), m_backoff.nextCallAt()));
+}
+
+void state_follower::discardRevision()
+{
+    m_revision = 0;
+    m_snapshotRequired = true;
+    m_polls = 0;
+    ++m_snapshot;
 }
 
 state_item state_follower::decode(const platform::kv_entry& entry)
@@ -118,17 +140,18 @@
     m_readBegan = m_watchBegan;
     m_watchWait = m_schedule.waitLimit();
     m_store.watch(m_options.prefix, m_revision, m_watchWait,
-        [this, number = ++m_watch, named = m_revision](base::result<platform::kv_watch_batch> batch) {
-            if (number != m_watch)
+        [this, number = ++m_step, named = m_revision](base::result<platform::kv_watch_batch> batch) {
+            if (number != m_step)
                 return;
             if (!batch)
                 return callFailed(batch.error());
+            if (rereadIfOlder(named, batch->revision))
+                return;
             callSucceeded();
-            reportOlderState(named, batch->revision);
             apply(*batch, m_clock.now());
             m_phase = phase::Gathering;
             m_timers.runAfter(m_schedule.interval(), [this, number] {
-                if (number == m_watch)
+                if (number == m_step)
                     watch();
             });
         });
@@ -139,17 +162,19 @@
     ++m_polls;
     m_readBegan = m_clock.now();
     m_store.watch(m_options.prefix, m_revision, pollWait,
-        [this, began = m_readBegan, number = m_snapshot](base::result<platform::kv_watch_batch> batch) {
+        [this, began = m_readBegan, number = m_snapshot, named = m_revision](
+            base::result<platform::kv_watch_batch> batch) {
             const bool isRetrying = m_phase == phase::Retrying;
             if (number != m_snapshot || (!batch && (m_repliedAt >= began || isRetrying)))
                 return;
             if (batch) {
+                if (rereadIfOlder(named, batch->revision))
+                    return;
                 callSucceeded();
                 return apply(*batch, began);
             }
             if (batch.error().reason != base::error_reason::NotFound)
                 return noteFailure(batch.error());
-            ++m_watch;
             callFailed(batch.error());
         });
 }
@@ -210,6 +235,17 @@
             { "revision", std::to_string(replied) } });
 }
 
+bool state_follower::rereadIfOlder(std::uint64_t named, std::uint64_t replied)
+{
+    if (replied >= named)
+        return false;
+    reportOlderState(named, replied);
+    discardRevision();
+    m_backoff.failed(m_clock.now());
+    callAt(m_backoff.nextCallAt());
+    return true;
+}
+
 void state_follower::callSucceeded()
 {
     m_repliedAt = m_clock.now();
@@ -230,10 +266,16 @@
     noteFailure(failure);
     // The store has discarded the changes since the last known revision.
     m_snapshotRequired = m_snapshotRequired || failure.reason == base::error_reason::NotFound;
+    m_backoff.failed(m_clock.now());
+    callAt(m_backoff.nextCallAt());
+}
+
+void state_follower::callAt(base::time_point time)
+{
     m_phase = phase::Retrying;
-    const base::time_point now = m_clock.now();
-    m_backoff.failed(now);
-    m_timers.runAfter(m_backoff.nextCallAt() - now, [this] {
+    m_timers.runAfter(time - m_clock.now(), [this, number = ++m_step] {
+        if (number != m_step)
+            return;
         if (m_snapshotRequired)
             readSnapshot();
         else
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -55,6 +55,9 @@
         std::string process = {};
         base::duration minRetryDelay = std::chrono::milliseconds(100);
         base::duration maxRetryDelay = std::chrono::milliseconds(400);
+        /// Share of the time limit over which the processes of a fleet spread their reads of the complete
+        /// state after the store has begun a new era, since one read takes several calls.
+        double rereadSpreadShare = 0.1;
         std::string prefix = {}; ///< Prefix of the keys to follow; empty for all.
     };
 
@@ -64,6 +67,10 @@
 
     void start();
 
+    /// Reads the complete state again, since the store has begun a higher era: it may lack what was read, and
+    /// gives out the same revisions again. Calls that have had no reply are replaced.
+    void eraRaised();
+
     /// Decides which processes watch for the others.
     watch_schedule& schedule() { return m_schedule; }
 
@@ -76,7 +83,8 @@
     /// Returns true if a snapshot has been read.
     bool hasState() const { return m_hasState; }
 
-    /// Returns the revision of the store up to which this process has read.
+    /// Returns the revision of the store up to which this process has read; 0 if it has not read the present
+    /// era.
     std::uint64_t revision() const { return m_revision; }
 
     /// Returns true if the latest call succeeded.
@@ -88,7 +96,7 @@
         Snapshot, ///< The reply to a snapshot.
         Watching, ///< The reply to a watch.
         Gathering, ///< The end of the time in which changes gather before the next watch.
-        Retrying, ///< The end of the pause after a failed call.
+        Retrying, ///< The end of the pause after a failed call, or before the state is read again.
     };
 
     base::duration shareOfLimit(double share) const;
@@ -101,6 +109,13 @@
     void reportLateChange();
     /// Logs a reply with a lower revision than \a named, that of its call.
     void reportOlderState(std::uint64_t named, std::uint64_t replied) const;
+    /// Reads the complete state again if the store has \a replied with a lower revision than \a named, that
+    /// of the call. Returns whether it has.
+    bool rereadIfOlder(std::uint64_t named, std::uint64_t replied);
+    /// Gives up what is known of the store's revisions and of calls that have had no reply.
+    void discardRevision();
+    /// Makes the next call at \a time.
+    void callAt(base::time_point time);
     void callFailed(const base::error& failure);
     void noteFailure(const base::error& failure);
     void callSucceeded();
@@ -110,13 +125,15 @@
     const state_decoder& m_decoder;
     base::scheduler& m_timers;
     const base::clock& m_clock;
+    base::random_source& m_random;
     const base::event_log& m_log;
     state_observer& m_observer;
     options m_options;
     outcome::call_backoff m_backoff;
     watch_schedule m_schedule;
     phase m_phase = phase::Snapshot;
-    std::uint64_t m_watch = 0; ///< Number of the latest watch or pause; those before it have been replaced.
+    /// Number of the latest snapshot, watch or pause; those before it have been replaced.
+    std::uint64_t m_step = 0;
     std::uint64_t m_snapshot = 0; ///< Number of the latest snapshot.
     base::time_point m_watchBegan {};
     base::duration m_watchWait { 0 };
--- a/tests/libs/relay/store/state_follower_test.cpp
+++ b/tests/libs/relay/store/state_follower_test.cpp
@@ -1,9 +1,11 @@
 #include <relay/store/state_follower.h>
 #include <support/delayed_kv_store.h>
 #include <support/fake_kv_store.h>
+#include <support/store_view.h>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 
@@ -123,17 +125,20 @@
     plain_decoder decoder;
     struct process {
         std::string id;
+        testing::store_view view;
         testing::delayed_kv_store path;
         state_recorder state;
         state_follower follower;
 
         process(follower_fleet& fleet, std::string name)
             : id(std::move(name))
-            , path(fleet.store, fleet.timers)
+            , view(fleet.store)
+            , path(view, fleet.timers)
             , state(fleet.clock)
             , follower(path, fleet.decoder, fleet.timers, fleet.clock, fleet.random, fleet.log, state,
                   { .process = id })
         {
+            view.setEraObserver([this](std::uint64_t, std::uint64_t) { follower.eraRaised(); });
         }
     };
     std::vector<std::unique_ptr<process>> processes;
@@ -141,8 +146,9 @@
     int lossInterval = 0; ///< Every n-th report is lost; 0 for none.
     int reports = 0;
 
-    explicit follower_fleet(int count)
+    explicit follower_fleet(int count, std::uint64_t firstEra = 0)
     {
+        store.stateEras(firstEra);
         for (int i = 0; i < count; ++i)
             processes.push_back(std::make_unique<process>(*this, "p" + std::to_string(i)));
         std::vector<std::string_view> ids;
@@ -154,9 +160,9 @@
         }
     }
 
-    void write(const std::string& value)
+    void write(const std::string& value, const std::string& key = "t/a")
     {
-        store.put({ .key = "t/a", .value = value }, [](base::result<std::uint64_t>) {});
+        store.put({ .key = key, .value = value }, [](base::result<std::uint64_t>) {});
     }
 
     bool isSentinel(std::size_t number)
@@ -172,6 +178,8 @@
             for (int i = 0; i < 20; ++i)
                 timers.advance(step / 20);
             for (std::size_t from = 0; from < processes.size(); ++from) {
+                if (lossInterval == 0 && !processes[from]->follower.schedule().isSentinel())
+                    continue; // Reports of others are ignored.
                 const auto report = decodeWatchReport(encode(processes[from]->follower.schedule().own()));
                 REQUIRE(report);
                 for (const auto& to : processes)
@@ -331,3 +339,121 @@
         RC_ASSERT(f.state.held == wanted);
     }));
 }
+
+namespace {
+
+enum class copied { BeforeStart, AfterStart };
+enum class next_revision {
+    Below,
+    Equal,
+    Above
+}; ///< Of the store when it returns, compared with the last one.
+
+struct return_drill {
+    int processes;
+    copied copy;
+    next_revision next;
+    bool cut; ///< Every third process hears nothing of the store from before the drill until after it.
+    std::uint64_t firstEra = 1; ///< 0 if the store states none.
+};
+
+/// Returns how many processes of \a fleet hold another state than the store.
+std::ptrdiff_t countDifferent(const follower_fleet& fleet)
+{
+    std::map<std::string, std::string> wanted;
+    for (const auto& [key, entry] : fleet.store.entries)
+        wanted[key] = entry.value;
+    return std::ranges::count_if(
+        fleet.processes, [&wanted](const auto& one) { return one->state.held != wanted; });
+}
+
+/// Lets the store return twice from a copy that lacks the last changes, and changes it 50 ms after each
+/// return.
+void checkReturnKnown(const return_drill& played)
+{
+    using std::chrono::milliseconds;
+    constexpr base::duration limit = std::chrono::seconds(2);
+    constexpr std::size_t readsPerSecond = 2000; // Of the platform's store.
+    CAPTURE(played.processes);
+    CAPTURE(static_cast<int>(played.copy));
+    CAPTURE(static_cast<int>(played.next));
+    CAPTURE(played.cut);
+    follower_fleet fleet(played.processes, played.firstEra);
+    auto copy = fleet.store.state();
+    fleet.run(milliseconds(100));
+    fleet.write("old");
+    fleet.write("removed later", "t/b");
+    fleet.run(limit);
+    if (played.copy == copied::AfterStart)
+        copy = fleet.store.state();
+    fleet.store.erase("t/b");
+    fleet.store.advanceRevision(50);
+    fleet.write("lost");
+    fleet.write("lost too", "t/c");
+    fleet.run(limit);
+    REQUIRE(countDifferent(fleet) == 0);
+    const std::uint64_t last = fleet.store.state().revision;
+    for (const std::string value : { "first", "second" }) {
+        CAPTURE(value);
+        for (std::size_t i = 0; played.cut && i < fleet.processes.size(); i += 3)
+            fleet.processes[i]->view.isCut = true;
+        fleet.store.down = true;
+        fleet.run(milliseconds(500));
+        fleet.store.restore(copy);
+        fleet.run(milliseconds(200)); // The store names its era and refuses calls.
+        const std::size_t reads = fleet.store.reads;
+        const std::size_t snapshots = fleet.store.snapshots;
+        fleet.store.down = false;
+        fleet.write(value, "t/d");
+        if (played.next != next_revision::Below)
+            fleet.store.advanceRevision(last - copy.revision - 1);
+        if (played.next == next_revision::Above)
+            fleet.store.advanceRevision(200);
+        fleet.run(milliseconds(50));
+        fleet.write(value);
+        fleet.run(std::chrono::seconds(1));
+        // A snapshot takes up to three calls.
+        CHECK(fleet.store.reads - reads + 2 * (fleet.store.snapshots - snapshots) <= readsPerSecond);
+        fleet.run(limit - std::chrono::seconds(1));
+        if (!played.cut)
+            CHECK(countDifferent(fleet) == 0);
+        for (const auto& one : fleet.processes)
+            one->view.isCut = false;
+        if (played.cut)
+            fleet.run(limit);
+        CHECK(countDifferent(fleet) == 0);
+        fleet.run(std::chrono::seconds(1));
+    }
+}
+
+void checkReturnsKnown(int processes)
+{
+    for (const copied copy : { copied::BeforeStart, copied::AfterStart })
+        for (const next_revision next : { next_revision::Below, next_revision::Equal, next_revision::Above })
+            for (const bool cut : { false, true })
+                checkReturnKnown({ processes, copy, next, cut });
+}
+
+} // namespace
+
+TEST_CASE("the whole state is read again when the store returns from an older copy")
+{
+    // Guards against a watch from a revision that exists again, which goes on without an error.
+    checkReturnsKnown(3);
+}
+
+TEST_CASE("the whole state is read again when a store that states no eras replies with a lower revision")
+{
+    // Guards against changes that are dropped until revisions have passed those of the lost history.
+    follower_fleet fleet(1);
+    const auto copy = fleet.store.state();
+    fleet.run(std::chrono::seconds(1));
+    for (int i = 0; i < 20; ++i)
+        fleet.write("lost", "t/" + std::to_string(i));
+    fleet.run(std::chrono::seconds(2));
+    fleet.store.knowsHistory = false;
+    fleet.store.restore(copy);
+    fleet.write("new");
+    fleet.run(std::chrono::seconds(2));
+    CHECK(countDifferent(fleet) == 0);
+}
--- a/tests/support/delayed_kv_store.h
+++ b/tests/support/delayed_kv_store.h
@@ -15,6 +15,11 @@
 
     base::duration delay { 0 };
 
+    std::uint64_t era() const override { return m_store.era(); }
+    void setEraObserver(platform::state_era::observer raised) override
+    {
+        m_store.setEraObserver(std::move(raised));
+    }
     void get(std::string_view key, callback<std::optional<platform::kv_entry>> done) override
     {
         m_store.get(key, late(std::move(done)));
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -36,6 +36,10 @@
     base::duration lateBy = std::chrono::seconds(3); ///< Time until a late call is carried out.
     std::size_t reads = 0;
     std::size_t writes = 0;
+    std::size_t snapshots = 0; ///< Of the reads.
+    /// A watch from a revision that the service does not have fails. Otherwise it is answered with the
+    /// service's own.
+    bool knowsHistory = true;
     std::map<std::string, platform::kv_entry, std::less<>> entries;
 
     std::uint64_t era() const override { return m_era; }
@@ -114,6 +118,7 @@
     void snapshot(std::string_view prefix, callback<platform::kv_snapshot> done) override
     {
         ++reads;
+        ++snapshots;
         call<platform::kv_snapshot>(
             std::move(done), [this, prefix = std::string(prefix)]() -> base::result<platform::kv_snapshot> {
                 historyLost = false;
@@ -222,9 +227,9 @@
     {
         if (down)
             return done(base::notRun(base::error_reason::Unavailable, "service is down"));
-        if (historyLost)
+        if (historyLost || (knowsHistory && afterRevision > m_revision))
             return done(base::notRun(base::error_reason::NotFound, "history is no longer available"));
-        platform::kv_watch_batch batch { .changes = {}, .revision = afterRevision };
+        platform::kv_watch_batch batch { .changes = {}, .revision = std::min(afterRevision, m_revision) };
         std::map<std::uint64_t, platform::kv_entry> ordered;
         for (const auto& [key, entry] : entries)
             if (key.starts_with(prefix) && entry.revision > afterRevision)
@@ -310,7 +315,7 @@
 
 inline void fake_kv_store::restore(const state_copy& earlier)
 {
-    ++m_era;
+    m_era += m_era > 0 ? 1 : 0;
     entries = earlier.entries;
     m_revision = earlier.revision;
     m_lastLease = earlier.lastLease;
