--- a/src/libs/platform/state_era.h
+++ b/src/libs/platform/state_era.h
@@ -39,6 +39,9 @@
     observer m_raised;
 };
 
+/// Bits of a position below its era.
+inline constexpr int revisionBits = 40;
+
 /// Returns a number that orders the states of a service over all its eras. A service that states no era has
 /// its revisions as positions.
 ///
@@ -46,8 +49,13 @@
 /// of larger integers.
 inline std::uint64_t positionOf(std::uint64_t era, std::uint64_t revision)
 {
-    constexpr int revisionBits = 40;
     return (era << revisionBits) + revision;
 }
 
+/// Returns the era of \a position.
+inline std::uint64_t eraOf(std::uint64_t position)
+{
+    return position >> revisionBits;
+}
+
 } // namespace marigold::platform
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -219,7 +219,7 @@
         .write =
             [this] {
                 const watch_schedule::report own = m_follower.schedule().own();
-                return own.revision == 0 ? std::string() : encode(own);
+                return own.position == 0 ? std::string() : encode(own);
             },
         .read =
             [this](std::string_view process, std::string_view bytes) {
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -54,7 +54,8 @@
             if (!snapshot)
                 return callFailed(snapshot.error());
             callSucceeded();
-            reportOlderState(m_revision, snapshot->revision);
+            if (snapshot->revision < m_revision)
+                reportOlderState(m_revision, snapshot->revision);
             apply(*snapshot);
             watch();
         });
@@ -76,6 +77,7 @@
     m_snapshotRequired = true;
     m_polls = 0;
     ++m_snapshot;
+    m_schedule.discardPositions();
 }
 
 state_item state_follower::decode(const platform::kv_entry& entry)
@@ -117,7 +119,7 @@
     m_revision = snapshot.revision;
     reportLateChange();
     m_polls = 0;
-    m_schedule.replyReceived(m_revision);
+    m_schedule.replyReceived(platform::positionOf(m_store.era(), m_revision));
     m_schedule.urgentChangeRead();
     m_hasState = true;
     m_snapshotRequired = false;
@@ -208,7 +210,7 @@
     m_revision = batch.revision;
     reportLateChange();
     m_polls = 0;
-    m_schedule.replyReceived(m_revision, asOf);
+    m_schedule.replyReceived(platform::positionOf(m_store.era(), m_revision), asOf);
     if (!isNew)
         return;
     bool isUrgent = !batch.removals.empty();
@@ -225,14 +227,13 @@
         m_schedule.urgentChangeRead();
 }
 
-void state_follower::reportOlderState(std::uint64_t named, std::uint64_t replied) const
+void state_follower::reportOlderState(std::uint64_t named, std::uint64_t replied)
 {
-    if (replied >= named)
-        return;
     const std::string era = std::to_string(m_store.era());
     m_log.write(events::storeOlder,
         { { "era_before", era }, { "era", era }, { "revision_before", std::to_string(named) },
             { "revision", std::to_string(replied) } });
+    discardRevision();
 }
 
 bool state_follower::rereadIfOlder(std::uint64_t named, std::uint64_t replied)
@@ -240,7 +241,6 @@
     if (replied >= named)
         return false;
     reportOlderState(named, replied);
-    discardRevision();
     m_backoff.failed(m_clock.now());
     callAt(m_backoff.nextCallAt());
     return true;
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -107,8 +107,8 @@
     /// Applies \a batch unless a later one has been applied. It states what the store had at \a asOf.
     void apply(const platform::kv_watch_batch& batch, base::time_point asOf);
     void reportLateChange();
-    /// Logs a reply with a lower revision than \a named, that of its call.
-    void reportOlderState(std::uint64_t named, std::uint64_t replied) const;
+    /// Logs a reply with a lower revision than \a named, that of its call, and discards what was read.
+    void reportOlderState(std::uint64_t named, std::uint64_t replied);
     /// Reads the complete state again if the store has \a replied with a lower revision than \a named, that
     /// of the call. Returns whether it has.
     bool rereadIfOlder(std::uint64_t named, std::uint64_t replied);
--- a/src/libs/relay/store/watch_schedule.cpp
+++ b/src/libs/relay/store/watch_schedule.cpp
@@ -1,5 +1,6 @@
 #include "watch_schedule.h"
 
+#include <platform/platform.h>
 #include <relay/message/json_document.h>
 
 #include <algorithm>
@@ -41,9 +42,17 @@
         m_reports.emplace(process, sentinel_report {});
 }
 
-void watch_schedule::replyReceived(std::uint64_t revision, base::time_point asOf)
+void watch_schedule::discardPositions()
 {
-    m_revision = std::max(m_revision, revision);
+    m_position = 0;
+    m_urgentPosition = 0;
+    for (auto& [process, known] : m_reports)
+        known = {};
+}
+
+void watch_schedule::replyReceived(std::uint64_t position, base::time_point asOf)
+{
+    m_position = std::max(m_position, position);
     m_repliedAt = std::max(m_repliedAt, asOf);
     for (auto& [process, known] : m_reports)
         updateAhead(known);
@@ -51,42 +60,46 @@
 
 void watch_schedule::updateAhead(sentinel_report& known) const
 {
-    const auto update = [this](base::time_point& since, std::uint64_t revision) {
-        if (revision <= m_revision)
+    const auto update = [this](base::time_point& since, std::uint64_t position) {
+        if (position <= m_position)
             since = {};
         else if (since == base::time_point {})
             since = m_clock.now();
     };
-    update(known.aheadSince, known.last.revision);
-    update(known.urgentSince, known.last.urgentRevision);
+    update(known.aheadSince, known.last.position);
+    update(known.urgentSince, known.last.urgentPosition);
 }
 
 watch_schedule::report watch_schedule::own() const
 {
-    if (m_revision == 0)
+    if (m_position == 0)
         return {};
     return {
-        .revision = m_revision, .urgentRevision = m_urgentRevision, .replyAge = m_clock.now() - m_repliedAt
+        .position = m_position, .urgentPosition = m_urgentPosition, .replyAge = m_clock.now() - m_repliedAt
     };
 }
 
 void watch_schedule::reportReceived(std::string_view process, const report& received)
 {
     const auto found = m_reports.find(process);
-    if (found == m_reports.end() || received.revision == 0)
+    if (found == m_reports.end() || received.position == 0)
         return;
     found->second.last = received;
     found->second.receivedAt = m_clock.now();
     updateAhead(found->second);
 }
 
+bool watch_schedule::isOfPresentEra(const sentinel_report& known) const
+{
+    return known.last.position > 0 && platform::eraOf(known.last.position) >= platform::eraOf(m_position);
+}
+
 bool watch_schedule::isCovered() const
 {
     const base::time_point now = m_clock.now();
     return !m_isSentinel && std::ranges::any_of(m_reports, [&](const auto& entry) {
         const sentinel_report& known = entry.second;
-        return known.last.revision > 0
-            && now - known.receivedAt + known.last.replyAge <= m_options.trustedFor;
+        return isOfPresentEra(known) && now - known.receivedAt + known.last.replyAge <= m_options.trustedFor;
     });
 }
 
@@ -96,7 +109,7 @@
     if (m_isSentinel)
         return latest;
     for (const auto& [process, known] : m_reports)
-        if (known.last.revision > 0 && known.last.urgentRevision <= m_revision)
+        if (isOfPresentEra(known) && known.last.urgentPosition <= m_position)
             latest = std::max(latest, known.receivedAt - known.last.replyAge);
     return latest;
 }
@@ -167,10 +180,14 @@
 std::string encode(const watch_schedule::report& item)
 {
     using nlohmann::json;
+    const std::uint64_t era = platform::eraOf(item.position);
+    const std::uint64_t begin = platform::positionOf(era, 0);
     std::string bytes;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(item.replyAge);
-    json::to_msgpack(
-        json::array({ item.revision, item.urgentRevision, std::max<std::int64_t>(age.count(), 0) }), bytes);
+    // Processes of an earlier version read the first three, and compare revisions.
+    json::to_msgpack(json::array({ item.position - begin, std::max(item.urgentPosition, begin) - begin,
+                         std::max<std::int64_t>(age.count(), 0), era }),
+        bytes);
     return bytes;
 }
 
@@ -178,11 +195,14 @@
 {
     try {
         const nlohmann::json value = parseMessagePack(bytes);
-        const auto revisionOf = [&](std::size_t index) {
-            return integerOf(value.at(index), std::uint64_t { 0 }, std::uint64_t { maxExactInteger });
+        const auto integerAt = [&](std::size_t index, std::int64_t highest) {
+            return integerOf(value.at(index), std::uint64_t { 0 }, static_cast<std::uint64_t>(highest));
         };
-        return watch_schedule::report { .revision = revisionOf(0),
-            .urgentRevision = revisionOf(1),
+        constexpr std::size_t eraIndex = 3;
+        constexpr std::int64_t maxEra = maxExactInteger >> platform::revisionBits;
+        const std::uint64_t era = value.size() > eraIndex ? integerAt(eraIndex, maxEra) : 0;
+        return watch_schedule::report { .position = platform::positionOf(era, integerAt(0, maxExactInteger)),
+            .urgentPosition = platform::positionOf(era, integerAt(1, maxExactInteger)),
             .replyAge = millisecondsOf(value.at(2)) };
     } catch (const std::exception& error) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/src/libs/relay/store/watch_schedule.h
+++ b/src/libs/relay/store/watch_schedule.h
@@ -23,6 +23,9 @@
 /// rendezvous hashing, watch with short waits and tell the others in their digests which revision of the
 /// store they have read, when, and which one was the last that must not wait. A report only ever prolongs the
 /// trust of a process that has read that far, or makes it poll sooner; a lost or late one costs a call.
+///
+/// Revisions are compared as positions (`platform::positionOf`): a report of a higher era of the store is
+/// ahead of all earlier ones, and one of a lower era says nothing.
 class watch_schedule {
 public:
     struct options {
@@ -51,22 +54,25 @@
     /// Sets the ids of the registered processes.
     void setProcesses(std::span<const std::string_view> processes);
 
-    /// Records that the store has replied with \a revision to this process, which states what it had at \a
-    /// asOf.
-    void replyReceived(std::uint64_t revision, base::time_point asOf);
-    void replyReceived(std::uint64_t revision) { replyReceived(revision, m_clock.now()); }
+    /// Records that a reply of the store to this process reaches up to \a position and states what it had at
+    /// \a asOf.
+    void replyReceived(std::uint64_t position, base::time_point asOf);
+    void replyReceived(std::uint64_t position) { replyReceived(position, m_clock.now()); }
+
+    /// Records that this process has read a change that must not wait, up to the position of the last reply.
+    void urgentChangeRead() { m_urgentPosition = m_position; }
 
-    /// Records that this process has read a change that must not wait, up to `revision` of the last reply.
-    void urgentChangeRead() { m_urgentRevision = m_revision; }
+    /// Forgets the positions that this process and the others have read, since the store may lack them.
+    void discardPositions();
 
     /// What a process tells the others.
     struct report {
-        std::uint64_t revision = 0;
-        std::uint64_t urgentRevision = 0; ///< Changes up to this one must not wait.
+        std::uint64_t position = 0;
+        std::uint64_t urgentPosition = 0; ///< Changes up to this one must not wait.
         base::duration replyAge { 0 }; ///< Time since the store has replied.
     };
 
-    /// Returns the report of this process; the revision is 0 before the first reply.
+    /// Returns the report of this process; the position is 0 before the first reply of the present state.
     report own() const;
 
     void reportReceived(std::string_view process, const report& received);
@@ -107,11 +113,13 @@
     struct sentinel_report {
         report last;
         base::time_point receivedAt {};
-        /// When it first reported a revision that this process lacked, and one that must not wait.
+        /// When it first reported a position that this process lacked, and one that must not wait.
         base::time_point aheadSince {};
         base::time_point urgentSince {};
     };
 
+    /// Returns whether \a known is of the era that this process has read, or of a later one.
+    bool isOfPresentEra(const sentinel_report& known) const;
     /// Returns whether a sentinel has read the store recently enough to wait for its reports.
     bool isCovered() const;
     /// Returns the last moment as of which this process lacks no change that must not wait.
@@ -122,8 +130,8 @@
     const base::clock& m_clock;
     options m_options;
     bool m_isSentinel = false;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_urgentRevision = 0;
+    std::uint64_t m_position = 0;
+    std::uint64_t m_urgentPosition = 0;
     base::time_point m_repliedAt {};
     std::map<std::string, sentinel_report, std::less<>> m_reports; ///< By sentinel.
 };
--- a/tests/libs/relay/store/state_follower_test.cpp
+++ b/tests/libs/relay/store/state_follower_test.cpp
@@ -349,11 +349,17 @@
     Above
 }; ///< Of the store when it returns, compared with the last one.
 
+enum class unheard {
+    None,
+    Cut, ///< Every third process hears nothing of the store from before the drill until after it.
+    Silent, ///< The watches that wait when the store goes away get no reply.
+};
+
 struct return_drill {
     int processes;
     copied copy;
     next_revision next;
-    bool cut; ///< Every third process hears nothing of the store from before the drill until after it.
+    unheard hearing;
     std::uint64_t firstEra = 1; ///< 0 if the store states none.
 };
 
@@ -377,7 +383,8 @@
     CAPTURE(played.processes);
     CAPTURE(static_cast<int>(played.copy));
     CAPTURE(static_cast<int>(played.next));
-    CAPTURE(played.cut);
+    CAPTURE(static_cast<int>(played.hearing));
+    const bool isCut = played.hearing == unheard::Cut;
     follower_fleet fleet(played.processes, played.firstEra);
     auto copy = fleet.store.state();
     fleet.run(milliseconds(100));
@@ -395,8 +402,13 @@
     const std::uint64_t last = fleet.store.state().revision;
     for (const std::string value : { "first", "second" }) {
         CAPTURE(value);
-        for (std::size_t i = 0; played.cut && i < fleet.processes.size(); i += 3)
+        for (std::size_t i = 0; isCut && i < fleet.processes.size(); i += 3)
             fleet.processes[i]->view.isCut = true;
+        if (played.hearing == unheard::Silent) {
+            fleet.store.unansweredWatches = played.processes;
+            fleet.write("ends the watches");
+            fleet.run(milliseconds(900));
+        }
         fleet.store.down = true;
         fleet.run(milliseconds(500));
         fleet.store.restore(copy);
@@ -415,11 +427,11 @@
         // A snapshot takes up to three calls.
         CHECK(fleet.store.reads - reads + 2 * (fleet.store.snapshots - snapshots) <= readsPerSecond);
         fleet.run(limit - std::chrono::seconds(1));
-        if (!played.cut)
+        if (!isCut)
             CHECK(countDifferent(fleet) == 0);
         for (const auto& one : fleet.processes)
             one->view.isCut = false;
-        if (played.cut)
+        if (isCut)
             fleet.run(limit);
         CHECK(countDifferent(fleet) == 0);
         fleet.run(std::chrono::seconds(1));
@@ -430,8 +442,8 @@
 {
     for (const copied copy : { copied::BeforeStart, copied::AfterStart })
         for (const next_revision next : { next_revision::Below, next_revision::Equal, next_revision::Above })
-            for (const bool cut : { false, true })
-                checkReturnKnown({ processes, copy, next, cut });
+            for (const unheard hearing : { unheard::None, unheard::Cut, unheard::Silent })
+                checkReturnKnown({ processes, copy, next, hearing });
 }
 
 } // namespace
@@ -457,3 +469,60 @@
     fleet.run(std::chrono::seconds(2));
     CHECK(countDifferent(fleet) == 0);
 }
+
+TEST_CASE("a fleet reads the whole state again when the store returns from an older copy")
+{
+    // Guards against sentinels whose reports are compared with revisions that an earlier era gave out.
+    checkReturnsKnown(48);
+    checkReturnsKnown(370);
+}
+
+TEST_CASE("a watch report of one era neither covers nor hides what another era has")
+{
+    // Guards against a process that has not heard of the new era and trusts, or lacks, a sentinel's word on
+    // it.
+    using std::chrono::milliseconds;
+    using reason = watch_schedule::read_reason;
+    constexpr std::uint64_t most = 8191;
+    struct row {
+        std::uint64_t era, revision, reportedEra, reportedRevision;
+        reason after150, after1100; ///< Whether the process reads, the sentinel reporting all the time.
+    };
+    for (const row& item : { row { 1, 500, 2, 3, reason::Reported, reason::Reported },
+             row { 2, 3, 1, 500, reason::None, reason::Unconfirmed },
+             row { 2, 500, 1, 3, reason::None, reason::Unconfirmed },
+             row { 2, 500, 2, 500, reason::None, reason::None },
+             row { most - 1, (1ULL << 40) - 1, most, 0, reason::Reported, reason::Reported },
+             row { 0, 500, 0, 501, reason::Reported, reason::Reported } }) {
+        CAPTURE(item.era);
+        CAPTURE(item.reportedEra);
+        base::manual_clock clock;
+        clock.advance(std::chrono::seconds(10));
+        watch_schedule schedule(clock, { .process = "p8" });
+        const std::vector<std::string_view> names { "p8", "a", "b", "c", "d", "e", "f", "g" };
+        schedule.setProcesses(names);
+        REQUIRE_FALSE(schedule.isSentinel());
+        schedule.replyReceived(platform::positionOf(item.era, item.revision));
+        const base::time_point began = clock.now();
+        const std::uint64_t reported = platform::positionOf(item.reportedEra, item.reportedRevision);
+        const auto reasonAt = [&](base::duration time) {
+            while (clock.now() < began + time) {
+                const auto report
+                    = decodeWatchReport(encode({ .position = reported, .urgentPosition = reported }));
+                REQUIRE(report);
+                CHECK(report->position == reported);
+                schedule.reportReceived(schedule.sentinels().front(), *report);
+                clock.advance(milliseconds(50));
+            }
+            return schedule.mustRead({ .watchBegan = began,
+                .watchWait = std::chrono::seconds(10),
+                .lastBegan = began,
+                .polls = 0 });
+        };
+        CHECK(reasonAt(milliseconds(200)) == item.after150);
+        CHECK(reasonAt(milliseconds(1150)) == item.after1100);
+    }
+    const auto earlier = decodeWatchReport("\x93\x05\x04\x01"); // Of a version that states no era.
+    CHECK((earlier && earlier->position == 5 && earlier->urgentPosition == 4));
+    CHECK_FALSE(decodeWatchReport(encode({ .position = platform::positionOf(most + 1, 0) })));
+}
