--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -118,8 +118,8 @@
         .config = nullptr }
     , m_follower(m_store, ports.decoder, loop, time, m_random, log, *this,
           { .changeLimit = m_options.changeLimit, .process = m_options.process })
-    , m_presence(
-          m_store, ports.decoder, loop, time, { .process = m_options.process, .address = m_options.peers })
+    , m_presence(m_store, ports.decoder, loop, time, m_random,
+          { .process = m_options.process, .address = m_options.peers })
     , m_quarantineExchange(m_quarantine, m_store, ports.decoder, loop, time, m_random,
           [this](const net::endpoint& to, std::string_view bytes) { m_datagrams.send(to, bytes); },
           { .process = m_options.process })
@@ -355,6 +355,7 @@
     m_targets.setProcesses(ids);
     m_retryBudgets.setProcesses(ids);
     m_follower.setProcesses(ids);
+    m_presence.setProcesses(ids);
     m_rollouts.setProcesses(ids);
     m_hedging.limit().setProcesses(ids);
     m_loadExchange.setPeers(m_processes);
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -69,6 +69,7 @@
 
 void relay_server::eraRaised(std::uint64_t before, std::uint64_t now)
 {
+    m_presence.eraRaised(before);
     if (!m_follower.hasState())
         return;
     m_log.write(events::storeOlder,
@@ -107,6 +108,8 @@
     } else if (const auto* process = std::get_if<running_process>(&item)) {
         if (m_processes.erase(process->id) > 0)
             m_missingProcesses.emplace(process->id, m_clock.now());
+        if (process->id == m_options.process)
+            m_presence.missingObserved(m_follower.revision());
         applyProcesses();
     } else if (const auto* entry = std::get_if<quarantine_entry>(&item)) {
         m_quarantineExchange.withdrawn(entry->key);
@@ -125,6 +128,7 @@
     for (const auto& [id, address] : std::exchange(m_processes, {}))
         m_missingProcesses.emplace(id, m_clock.now());
     bool leaseHeld = false;
+    bool isRegistered = false;
     std::vector<std::string> targets;
     std::set<std::string> rolloutRequests;
     std::set<std::string> rolloutStates;
@@ -134,6 +138,8 @@
         leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
         if (const auto* target = std::get_if<target_registration>(&item))
             targets.push_back(target->id);
+        else if (const auto* process = std::get_if<running_process>(&item))
+            isRegistered = isRegistered || process->id == m_options.process;
         else if (const auto* request = std::get_if<rollout_request>(&item))
             rolloutRequests.insert(request->service);
         else if (const auto* status = std::get_if<rollout_status>(&item))
@@ -146,6 +152,8 @@
     m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
     m_targets.retainTargets(targets);
     applyExcluded();
+    if (!isRegistered)
+        m_presence.missingObserved(m_follower.revision());
     applyProcesses();
     if (!leaseHeld)
         m_lease.leaseObserved({});
--- a/tests/libs/relay/context/cut_off_process_test.cpp
+++ b/tests/libs/relay/context/cut_off_process_test.cpp
@@ -37,7 +37,8 @@
     base::manual_scheduler timers { clock };
     testing::fake_kv_store store { clock, timers };
     testing::key_decoder decoder;
-    presence registration { store, decoder, timers, clock, { .process = "p0" } };
+    base::random_source random { 1 };
+    presence registration { store, decoder, timers, clock, random, { .process = "p0" } };
     std::map<std::string, process> processes;
     std::map<std::string, net::endpoint> addresses;
     bool isPaused = false; ///< p0 runs no code; datagrams for it are kept by the system.
--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -36,6 +36,7 @@
     base::duration lateBy = std::chrono::seconds(3); ///< Time until a late call is carried out.
     std::size_t reads = 0;
     std::size_t writes = 0;
+    std::size_t renewals = 0; ///< Of the writes.
     std::map<std::string, platform::kv_entry, std::less<>> entries;
 
     std::uint64_t era() const override { return m_era; }
@@ -172,6 +173,7 @@
     void keepAlive(std::uint64_t lease, callback<void> done) override
     {
         ++writes;
+        ++renewals;
         call<void>(std::move(done), [this, lease]() -> base::result<void> {
             const auto found = m_leases.find(lease);
             if (found == m_leases.end())
