--- a/src/libs/relay/admission/part_quarantine.cpp
+++ b/src/libs/relay/admission/part_quarantine.cpp
@@ -171,7 +171,8 @@
 std::optional<int> part_quarantine::dueTrial(std::string_view part) const
 {
     const auto found = m_blocks.find(part);
-    if (found == m_blocks.end() || found->second.byOperator || m_clock.now() < found->second.nextTrial)
+    if (found == m_blocks.end() || found->second.byOperator
+        || m_clock.now() < std::max(found->second.nextTrial, m_trialsFrom))
         return std::nullopt;
     return found->second.trials;
 }
--- a/src/libs/relay/admission/part_quarantine.h
+++ b/src/libs/relay/admission/part_quarantine.h
@@ -120,6 +120,9 @@
     /// has blocked are tried.
     std::optional<int> dueTrial(std::string_view part) const;
 
+    /// Lets no trial be due before \a time.
+    void postponeTrials(base::time_point time) { m_trialsFrom = time; }
+
     /// Records that a process has started a trial.
     void trialStarted(const trial_start& trial);
 
@@ -202,6 +205,7 @@
     observer m_calls;
     options m_options;
     std::vector<end_record> m_ends; ///< Oldest first.
+    base::time_point m_trialsFrom {};
     std::map<std::string, suspect, std::less<>> m_suspects; ///< Parts with evidence against them.
     std::map<std::string, block_record, std::less<>> m_blocks;
     std::map<std::string, conviction, std::less<>> m_convictions;
--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -19,9 +19,23 @@
     , m_random(random)
     , m_send(std::move(send))
     , m_options(std::move(opts))
+    , m_lease(store)
 {
 }
 
+void quarantine_exchange::eraRaised(std::uint64_t before)
+{
+    if (before == 0 && m_appliedPosition == 0)
+        return;
+    m_parts.postponeTrials(m_clock.now() + m_options.claimPause);
+    const std::vector<blocked_part> blocks = m_parts.ownBlocks();
+    for (const blocked_part& block : blocks) {
+        publishLater(block);
+        if (const auto trial = m_ownTrials.find(block.part); trial != m_ownTrials.end())
+            publish(trial_start { .part = trial->first, .number = trial->second });
+    }
+}
+
 void quarantine_exchange::setPeers(std::map<std::string, net::endpoint> peers)
 {
     m_peers.clear();
@@ -52,6 +66,11 @@
         return;
     if (m_isOwnEvidence)
         return publish(block);
+    publishLater(block);
+}
+
+void quarantine_exchange::publishLater(const blocked_part& block)
+{
     if (const auto known = m_unwrittenBlocks.find(block.part); known != m_unwrittenBlocks.end())
         m_timers.cancel(known->second);
     m_unwrittenBlocks[block.part]
@@ -118,12 +137,12 @@
 
 void quarantine_exchange::withLease(std::function<void(base::result<std::uint64_t>)> done)
 {
-    if (m_lease != 0 && m_clock.now() - m_leaseGrantedAt <= m_options.leaseRenewal)
-        return done(m_lease);
+    if (m_lease.id() != 0 && m_clock.now() - m_leaseGrantedAt <= m_options.leaseRenewal)
+        return done(m_lease.id());
     m_store.grantLease(
         m_options.recordTime, [this, done = std::move(done)](base::result<std::uint64_t> lease) {
             if (lease) {
-                m_lease = *lease;
+                m_lease.granted(*lease);
                 m_leaseGrantedAt = m_clock.now();
             }
             done(lease);
@@ -144,7 +163,7 @@
     const std::uint64_t last = m_unwritten.back().sequence;
     m_store.put({ .key = m_decoder.quarantineKey(fmt::format("{}/{}", m_options.process, last)),
                     .value = encodeText({ .process = m_options.process, .records = m_unwritten }),
-                    .lease = m_lease },
+                    .lease = m_lease.id() },
         [this, last](base::result<std::uint64_t> revision) {
             if (!revision)
                 return writeFailed(revision.error());
@@ -158,7 +177,7 @@
 {
     // The failed call is counted by the store's client; the records go to the others as datagrams as well.
     if (failure.reason == base::error_reason::NotFound)
-        m_lease = 0; // Has expired, for example in an outage of the store.
+        m_lease.forget(); // Has expired, for example in an outage of the store.
     m_writeScheduled = false;
     scheduleWrite(m_options.retryDelay);
 }
@@ -203,10 +222,23 @@
                 .value = encodeText({ .process = m_options.process, .records = { { .record = trial } } }),
                 .expectedRevision = 0,
                 .lease = *lease },
-            [pending](base::result<std::uint64_t> created) { pending->decide(created.has_value()); });
+            [this, trial, pending](base::result<std::uint64_t> created) {
+                if (created)
+                    rememberTrial(trial);
+                pending->decide(created.has_value());
+            });
     });
 }
 
+void quarantine_exchange::rememberTrial(const trial_start& trial)
+{
+    const std::vector<blocked_part> blocks = m_parts.ownBlocks();
+    std::erase_if(m_ownTrials, [&](const auto& item) {
+        return std::ranges::find(blocks, item.first, &blocked_part::part) == blocks.end();
+    });
+    m_ownTrials[trial.part] = trial.number;
+}
+
 bool quarantine_exchange::isNew(std::string_view process, std::uint64_t sequence)
 {
     if (process == m_options.process)
@@ -249,10 +281,12 @@
 
 void quarantine_exchange::stored(const quarantine_entry& entry)
 {
-    if (entry.revision <= m_appliedRevision)
+    const std::uint64_t position = platform::positionOf(m_store.era(), entry.revision);
+    if (position <= m_appliedPosition)
         return;
-    m_appliedRevision = entry.revision;
+    m_appliedPosition = position;
     if (entry.operatorBlock) {
+        m_lostOperatorBlocks.erase(entry.key);
         m_operatorBlocks[entry.key] = entry.operatorBlock->part;
         return m_parts.blockReported(*entry.operatorBlock, true);
     }
@@ -278,8 +312,20 @@
     for (const auto& [key, part] : m_operatorBlocks)
         if (!present.contains(key))
             gone.push_back(key);
-    for (const std::string& key : gone)
-        withdrawn(key);
+    const std::uint64_t era = m_store.era();
+    if (std::exchange(m_era, era) == era) {
+        for (const std::string& key : gone)
+            if (!m_lostOperatorBlocks.contains(key))
+                withdrawn(key);
+        return;
+    }
+    m_lostOperatorBlocks.insert(gone.begin(), gone.end());
+    m_timers.runAfter(m_options.operatorTime, [this, era] {
+        if (era != m_era)
+            return;
+        for (const std::string& key : std::exchange(m_lostOperatorBlocks, {}))
+            withdrawn(key);
+    });
 }
 
 void quarantine_exchange::withdrawn(std::string_view key)
--- a/src/libs/relay/exchange/quarantine_exchange.h
+++ b/src/libs/relay/exchange/quarantine_exchange.h
@@ -2,6 +2,7 @@
 
 #include "quarantine_record.h"
 #include <relay/store/state_decoder.h>
+#include <relay/store/store_lease.h>
 
 #include <base/base.h>
 #include <net/http_types.h>
@@ -45,6 +46,11 @@
         base::duration leaseRenewal = std::chrono::minutes(1);
         base::duration writeInterval = std::chrono::milliseconds(100);
         base::duration retryDelay = std::chrono::milliseconds(300);
+        /// After a new era of the store, claims of trials that it has lost are told again in this time, and
+        /// no process claims one.
+        base::duration claimPause = std::chrono::seconds(3);
+        /// Time in which an operator writes again what the store has lost.
+        base::duration operatorTime = std::chrono::seconds(5);
         std::size_t maxPending = 256;
         std::size_t maxKnownRecords = 1024;
     };
@@ -57,6 +63,10 @@
 
     void start() { gossip(); }
 
+    /// Writes again what the store may have lost, because it has begun another era and that of \a before has
+    /// ended.
+    void eraRaised(std::uint64_t before);
+
     /// Sets the addresses of all processes by id; this one is ignored.
     void setPeers(std::map<std::string, net::endpoint> peers);
 
@@ -91,6 +101,8 @@
     void gossip();
     void withLease(std::function<void(base::result<std::uint64_t>)> done);
     void publish(quarantine_record record);
+    /// Writes \a block to the store after a random time, unless another process has.
+    void publishLater(const blocked_part& block);
     void sendToAll(const std::string& datagram);
     void apply(const quarantine_batch& batch);
     void apply(const quarantine_record& record);
@@ -99,6 +111,7 @@
     void write();
     void writeRecords();
     void writeFailed(const base::error& failure);
+    void rememberTrial(const trial_start& trial);
     void cancelSound(std::string_view part);
     base::duration randomDelay(base::duration shortest, base::duration longest);
 
@@ -115,13 +128,17 @@
     std::size_t m_nextGossip = 0; ///< Of the blocks.
     std::vector<numbered_record> m_unwritten;
     bool m_writeScheduled = false;
-    std::uint64_t m_lease = 0;
+    store_lease m_lease;
     base::time_point m_leaseGrantedAt {};
-    std::uint64_t m_appliedRevision = 0; ///< Of the store; an older entry must not undo what came after it.
+    /// In the store's states of all eras; an older entry must not undo what came after it.
+    std::uint64_t m_appliedPosition = 0;
+    std::uint64_t m_era = 0; ///< Of the latest snapshot.
+    std::map<std::string, int> m_ownTrials; ///< The latest one that this process has claimed, by part.
     std::set<std::pair<std::string, std::uint64_t>> m_knownRecords; ///< By process and sequence.
     std::map<std::string, pending_sound, std::less<>> m_pendingSounds;
     std::map<std::string, base::timer_id, std::less<>> m_unwrittenBlocks; ///< Found here or elsewhere.
     std::map<std::string, std::string, std::less<>> m_operatorBlocks; ///< Parts by key of the entry.
+    std::set<std::string, std::less<>> m_lostOperatorBlocks; ///< Keys that the store has lost.
     bool m_isOwnEvidence = false; ///< Evidence of this process is being added.
 };
 
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -70,6 +70,7 @@
 void relay_server::eraRaised(std::uint64_t before, std::uint64_t now)
 {
     m_presence.eraRaised(before);
+    m_quarantineExchange.eraRaised(before);
     if (!m_follower.hasState())
         return;
     m_log.write(events::storeOlder,
--- a/tests/libs/relay/exchange/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/exchange/quarantine_exchange_test.cpp
@@ -1,5 +1,7 @@
 #include "quarantine_fleet.h"
 
+#include <support/store_view.h>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -32,8 +34,146 @@
     CHECK(all.blockedSoundParts().empty());
 }
 
+/// Processes that reach each other through a store that returns from an older copy, and not by datagrams.
+struct restored_fleet {
+    struct decoder final : plain_decoder {
+        base::result<state_item> decode(const platform::kv_entry& entry) const override
+        {
+            if (entry.key == "q/by-hand")
+                return quarantine_entry { .key = entry.key,
+                    .revision = entry.revision,
+                    .operatorBlock = blocked_part { .part = "o", .with = { "o" } } };
+            return entry.key.starts_with("q/") ? plain_decoder::decode(entry) : quarantine_entry {};
+        }
+    };
+    struct process {
+        testing::store_view view;
+        part_quarantine quarantine;
+        quarantine_exchange exchange;
+        std::pair<std::uint64_t, std::uint64_t> told; ///< Era and revision of the latest snapshot.
+        int sent = 0; ///< Trials of the part "x".
+
+        process(restored_fleet& all, const std::string& name)
+            : view(all.store)
+            , quarantine(
+                  all.clock, { .blocked = [this](const blocked_part& it) { exchange.partBlocked(it); } }, {})
+            , exchange(quarantine, view, all.decoded, all.timers, all.clock, all.random,
+                  [](const net::endpoint&, std::string_view) {}, { .process = name })
+        {
+            view.setEraObserver([this](std::uint64_t before, std::uint64_t) { exchange.eraRaised(before); });
+        }
+    };
+
+    base::manual_clock clock;
+    base::manual_scheduler timers { clock };
+    testing::fake_kv_store store { clock, timers };
+    base::random_source random { 1 };
+    decoder decoded;
+    std::vector<std::unique_ptr<process>> processes;
+    bool areTrialsDue = false;
+    int unblocked = 0; ///< Steps in which a process lacked the operator's block.
+
+    void add(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            processes.push_back(std::make_unique<process>(*this, "p" + std::to_string(processes.size())));
+    }
+
+    void claim(process& by)
+    {
+        if (const auto number = by.quarantine.dueTrial("x"))
+            by.exchange.claimTrial("x", *number, [&by](bool granted) { by.sent += granted ? 1 : 0; });
+    }
+
+    void read(process& by)
+    {
+        by.view.snapshot("q/", [this, &by](base::result<platform::kv_snapshot> found) {
+            const std::pair state(by.view.era(), found ? found->revision : 0);
+            if (!found || std::exchange(by.told, state) == state)
+                return;
+            std::vector<quarantine_entry> entries;
+            for (const platform::kv_entry& entry : found->entries)
+                entries.push_back(std::get<quarantine_entry>(*decoded.decode(entry)));
+            by.exchange.snapshotRead(std::move(entries));
+        });
+    }
+
+    void run(base::duration time)
+    {
+        for (base::duration passed {}; passed < time; passed += std::chrono::milliseconds(100)) {
+            const auto now = clock.now().time_since_epoch() / std::chrono::milliseconds(100);
+            for (std::size_t i = 0; i < processes.size(); ++i) {
+                if ((now + static_cast<std::int64_t>(i)) % 3 == 0)
+                    read(*processes[i]);
+                if (areTrialsDue)
+                    claim(*processes[i]);
+            }
+            timers.advance(std::chrono::milliseconds(100));
+            for (const auto& item : processes)
+                unblocked += item->quarantine.find(parts { "o" }) ? 0 : 1;
+        }
+    }
+
+    std::size_t blocking(const std::string& part) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            processes, [&](const auto& item) { return item->quarantine.find(parts { part }) != nullptr; }));
+    }
+};
+
 } // namespace
 
+TEST_CASE("blocks and claims of trials hold though the store returns from an older copy")
+{
+    // Guards against entries that are ignored for their lower revisions, records on another process's lease,
+    // and a trial that is claimed again since its claim is lost.
+    for (const std::size_t count : { 3, 48, 370 })
+        for (const bool isOlderThanBlock : { true, false })
+            for (const std::uint64_t changes : { 0, 1, 1000 }) {
+                CAPTURE(count);
+                CAPTURE(isOlderThanBlock);
+                CAPTURE(changes);
+                restored_fleet f;
+                f.store.stateEras();
+                f.add(count);
+                auto copy = f.store.state();
+                f.store.put({ .key = "q/by-hand" }, [](const auto&) {});
+                f.processes[0]->quarantine.blockReported({ .part = "x", .with = { "x" }, .ends = 9 });
+                f.run(std::chrono::seconds(15));
+                f.store.advanceRevision(40);
+                REQUIRE(f.blocking("x") == count);
+                f.run(std::chrono::seconds(20));
+                f.unblocked = 0;
+                if (!isOlderThanBlock)
+                    copy = f.store.state();
+                f.claim(*f.processes[1]);
+                f.timers.advance(std::chrono::milliseconds(20));
+                f.store.down = true;
+                f.run(std::chrono::seconds(1));
+                f.store.restore(copy);
+                f.store.advanceRevision(changes == 0 ? 0 : 40 + changes);
+                f.store.down = false;
+                // Another client's lease gets a number that was given out before, and ends.
+                f.store.grantLease(std::chrono::minutes(10), [](const auto&) {});
+                f.run(std::chrono::milliseconds(400)); // Until each process has heard of the new era.
+                f.areTrialsDue = true;
+                f.run(std::chrono::milliseconds(1600));
+                f.store.put({ .key = "q/by-hand" }, [](const auto&) {});
+                f.processes[0]->quarantine.blockReported({ .part = "y", .with = { "y" }, .ends = 9 });
+                f.run(std::chrono::seconds(14));
+                f.store.revokeLease(copy.lastLease + 1, [](const auto&) {});
+                f.add(1);
+                f.run(std::chrono::seconds(1));
+                CHECK(f.blocking("x") == count + 1);
+                CHECK(f.blocking("y") == count + 1);
+                CHECK(f.unblocked <= 4); // The process that has started has to read it.
+                int sent = 0;
+                for (const auto& item : f.processes)
+                    sent += item->sent;
+                CHECK(sent == 1);
+            }
+}
+
 TEST_CASE(
     "processes of any number stop sending requests with a part that ends targets, and go on with the rest")
 {
--- a/tests/libs/relay/exchange/quarantine_fleet.h
+++ b/tests/libs/relay/exchange/quarantine_fleet.h
@@ -21,7 +21,7 @@
 inline constexpr int endsBeforeBound = 5;
 inline constexpr base::duration stableTime = std::chrono::seconds(3);
 
-class plain_decoder final : public state_decoder {
+class plain_decoder : public state_decoder {
 public:
     base::result<state_item> decode(const platform::kv_entry& entry) const override
     {
