--- a/tests/support/fake_kv_store.h
+++ b/tests/support/fake_kv_store.h
@@ -40,6 +40,7 @@
     /// A watch from a revision that the service does not have fails. Otherwise it is answered with the
     /// service's own.
     bool knowsHistory = true;
+    std::size_t renewals = 0; ///< Of the writes.
     std::map<std::string, platform::kv_entry, std::less<>> entries;
 
     std::uint64_t era() const override { return m_era; }
@@ -179,6 +180,7 @@
     void keepAlive(std::uint64_t lease, callback<void> done) override
     {
         ++writes;
+        ++renewals;
         call<void>(std::move(done), [this, lease]() -> base::result<void> {
             const auto found = m_leases.find(lease);
             if (found == m_leases.end())
