--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -145,7 +145,7 @@
     m_replacing = false;
     m_hasSnapshot = true;
     m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
-    m_targets.retainTargets(targets);
+    m_targets.retainTargets(targets, m_follower.hasStoreLostChanges());
     applyExcluded();
     applyProcesses();
     if (!leaseHeld)
--- a/src/libs/relay/store/state_follower.cpp
+++ b/src/libs/relay/store/state_follower.cpp
@@ -75,6 +75,7 @@
 {
     m_revision = 0;
     m_snapshotRequired = true;
+    m_hasStoreLostChanges = true;
     m_polls = 0;
     ++m_snapshot;
     m_schedule.discardPositions();
@@ -127,6 +128,7 @@
     for (const platform::kv_entry& entry : snapshot.entries)
         present.push_back(decode(entry));
     m_observer.replaced(present);
+    m_hasStoreLostChanges = false;
 }
 
 base::duration state_follower::shareOfLimit(double share) const
--- a/src/libs/relay/store/state_follower.h
+++ b/src/libs/relay/store/state_follower.h
@@ -87,6 +87,10 @@
     /// era.
     std::uint64_t revision() const { return m_revision; }
 
+    /// Returns true if the store has begun a higher era, or gone back, and the complete state has not been
+    /// delivered since.
+    bool hasStoreLostChanges() const { return m_hasStoreLostChanges; }
+
     /// Returns true if the latest call succeeded.
     bool isReachable() const { return m_reachable; }
 
@@ -144,6 +148,7 @@
     bool m_hasState = false;
     bool m_reachable = true;
     bool m_snapshotRequired = true;
+    bool m_hasStoreLostChanges = false;
 };
 
 } // namespace marigold::relay
--- a/src/libs/relay/targets/target_registry.cpp
+++ b/src/libs/relay/targets/target_registry.cpp
@@ -145,11 +145,15 @@
     countTarget(target->registration.service, -1);
 }
 
-void target_registry::retainTargets(const std::vector<std::string>& present)
+void target_registry::retainTargets(const std::vector<std::string>& present, bool hasLostChanges)
 {
-    for (const auto& [id, target] : m_targets)
-        if (std::ranges::find(present, id) == present.end())
-            m_missing.emplace(id, m_clock.now());
+    for (const auto& [id, target] : m_targets) {
+        if (std::ranges::find(present, id) != present.end())
+            continue;
+        const auto known = m_missing.emplace(id, m_clock.now()).first;
+        if (hasLostChanges)
+            known->second = m_clock.now();
+    }
 }
 
 void target_registry::removeExpired()
--- a/src/libs/relay/targets/target_registry.h
+++ b/src/libs/relay/targets/target_registry.h
@@ -114,8 +114,9 @@
     void put(const target_registration& registration);
     void remove(std::string_view id);
 
-    /// Removes the targets whose ids are not in \a present after the grace period.
-    void retainTargets(const std::vector<std::string>& present);
+    /// Removes the targets whose ids are not in \a present after the grace period. It begins anew if the
+    /// platform's store \a hasLostChanges.
+    void retainTargets(const std::vector<std::string>& present, bool hasLostChanges = false);
 
     /// Removes targets that have been missing for the grace period, and load reported by peers that have
     /// timed out. To be called periodically.
--- a/tests/libs/relay/placement/placement_test.cpp
+++ b/tests/libs/relay/placement/placement_test.cpp
@@ -239,6 +239,23 @@
     CHECK(f.targets.targets().size() == 1);
 }
 
+TEST_CASE("the grace period of missing targets begins anew when the store has lost their entries once more")
+{
+    // Guards against refusing requests after the second of two returns of the store from an older copy.
+    for (const bool hasLostChanges : { false, true }) {
+        fixture f(2);
+        f.targets.retainTargets({ "t0" }, true);
+        f.clock.advance(std::chrono::milliseconds(1500));
+        f.targets.retainTargets({ "t0" }, hasLostChanges);
+        f.clock.advance(std::chrono::milliseconds(1500));
+        f.targets.removeExpired();
+        CHECK(f.targets.targets().size() == (hasLostChanges ? 2 : 1));
+        f.clock.advance(std::chrono::milliseconds(900));
+        f.targets.removeExpired();
+        CHECK(f.targets.targets().size() == 1);
+    }
+}
+
 TEST_CASE("a target restarted under the same id has no previous state")
 {
     // Guards against load and ejections of the previous process that are applied to its successor.
