--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -136,6 +136,7 @@
           { .process = m_options.process })
     , m_contextFollower(m_catalog, ports.context, m_contextDistributor, loop, time, {})
     , m_contextReclaimer(m_catalog, m_contextFollower, ports.context, m_lease, m_targets, time, log, {})
+    , m_excluded(time)
     , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { datagramReceived(bytes); })
     , m_paceExchange(m_targets, time, {})
     , m_loadExchange(m_targets, loop, time,
@@ -292,6 +293,8 @@
 void relay_server::runHousekeeping()
 {
     m_targets.removeExpired();
+    if (m_excluded.removeExpired())
+        applyExcluded();
     removeMissingProcesses();
     m_targets.setIsolated(!m_follower.isReachable());
     m_rollouts.setStoreReachable(m_follower.isReachable());
@@ -337,7 +340,7 @@
 
 void relay_server::applyExcluded()
 {
-    const std::vector<std::string> domains(m_excluded.begin(), m_excluded.end());
+    const std::vector<std::string> domains = m_excluded.list();
     m_targets.setExcludedDomains(domains);
     std::string list;
     for (const std::string& domain : domains)
--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -14,6 +14,7 @@
 #include <relay/store/counted_store.h>
 #include <relay/store/presence.h>
 #include <relay/store/state_follower.h>
+#include <relay/targets/excluded_domains.h>
 
 #include <memory>
 #include <set>
@@ -167,7 +168,7 @@
     context_event_distributor m_contextDistributor;
     context_follower m_contextFollower;
     context_reclaimer m_contextReclaimer;
-    std::set<std::string, std::less<>> m_excluded;
+    excluded_domains m_excluded;
     std::map<std::string, net::endpoint> m_processes;
     /// Processes that are no longer registered, with the time since when. They still count as senders for a
     /// while: registrations lapse in an outage of the store although the processes run.
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -103,7 +103,7 @@
         m_targets.remove(target->id);
         m_targetEnds.targetRemoved(target->id);
     } else if (const auto* excluded = std::get_if<excluded_domain>(&item)) {
-        m_excluded.erase(excluded->failureDomain);
+        m_excluded.remove(excluded->failureDomain);
         applyExcluded();
     } else if (const auto* process = std::get_if<running_process>(&item)) {
         if (m_processes.erase(process->id) > 0)
@@ -122,11 +122,11 @@
 
 void relay_server::replaced(const std::vector<state_item>& present)
 {
-    m_excluded.clear();
     for (const auto& [id, address] : std::exchange(m_processes, {}))
         m_missingProcesses.emplace(id, m_clock.now());
     bool leaseHeld = false;
     std::vector<std::string> targets;
+    std::vector<std::string> excluded;
     std::set<std::string> rolloutRequests;
     std::set<std::string> rolloutStates;
     m_replacing = true;
@@ -135,6 +135,8 @@
         leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
         if (const auto* target = std::get_if<target_registration>(&item))
             targets.push_back(target->id);
+        else if (const auto* domain = std::get_if<excluded_domain>(&item))
+            excluded.push_back(domain->failureDomain);
         else if (const auto* request = std::get_if<rollout_request>(&item))
             rolloutRequests.insert(request->service);
         else if (const auto* status = std::get_if<rollout_status>(&item))
@@ -146,6 +148,7 @@
     m_hasSnapshot = true;
     m_quarantineExchange.snapshotRead(std::exchange(m_snapshotQuarantine, {}));
     m_targets.retainTargets(targets, m_follower.hasStoreLostChanges());
+    m_excluded.replace(excluded, m_follower.hasStoreLostChanges());
     applyExcluded();
     applyProcesses();
     if (!leaseHeld)
