--- a/src/libs/relay/exchange/quarantine_exchange.h
+++ b/src/libs/relay/exchange/quarantine_exchange.h
@@ -67,6 +67,9 @@
     /// ended.
     void eraRaised(std::uint64_t before);
 
+    /// Returns the number of the lease on which the records hang; 0 if there is none.
+    std::uint64_t lease() const { return m_lease.id(); }
+
     /// Sets the addresses of all processes by id; this one is ignored.
     void setPeers(std::map<std::string, net::endpoint> peers);
 
--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -76,17 +76,27 @@
         forgetLease();
 }
 
+bool order_lease_holder::isKeyStray() const
+{
+    if (!m_observed)
+        return false;
+    if (m_observed->holder == m_options.process)
+        return m_token == 0 && !m_competing;
+    return m_options.renewsLease && m_options.renewsLease(m_observed->lease);
+}
+
 void order_lease_holder::removeStrayKey()
 {
-    if (m_token != 0 || m_competing || m_released || m_isRemoving || !m_observed
-        || m_observed->holder != m_options.process)
+    noteEra();
+    if (m_released || m_isRemoving || !isKeyStray())
         return;
     m_isRemoving = true;
     m_store.remove(m_decoder.orderLeaseKey(), m_observed->createdRevision,
         [this, removed = m_observed->createdRevision](base::result<void> outcome) {
             m_isRemoving = false;
-            const bool isSame = m_observed && m_observed->createdRevision == removed;
-            if (outcome || outcome.error().reason == base::error_reason::Conflict || !isSame)
+            noteEra();
+            const bool isGone = outcome || outcome.error().reason == base::error_reason::Conflict;
+            if (m_observed && m_observed->createdRevision == removed && isGone)
                 return;
             m_timers.runAfter(m_options.retryDelay, [this] { removeStrayKey(); });
         });
@@ -198,7 +208,7 @@
             // Another process has it. Its key is a change that the watch tells, as is the end of that key.
             if (failure.reason == base::error_reason::Conflict) {
                 m_competing = false;
-                return;
+                return removeStrayKey();
             }
             if (failure.reason == base::error_reason::NotFound)
                 forgetLease();
@@ -211,7 +221,9 @@
     m_store.get(
         m_decoder.orderLeaseKey(), [this, sentAt](base::result<std::optional<platform::kv_entry>> entry) {
             noteEra();
-            if (m_storeLease.id() != 0 && entry && *entry && (*entry)->value == m_options.process)
+            // A key on another lease is that of a write from an earlier era.
+            if (m_storeLease.id() != 0 && entry && *entry && (*entry)->value == m_options.process
+                && (*entry)->lease == m_storeLease.id())
                 return acquired(sentAt, (*entry)->createdRevision, "found");
             // The write may still be carried out.
             competeLater();
--- a/src/libs/relay/orders/order_lease_holder.h
+++ b/src/libs/relay/orders/order_lease_holder.h
@@ -6,6 +6,7 @@
 #include <base/base.h>
 #include <control/lease.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -32,6 +33,8 @@
         /// Time after a failed attempt in which this process does not compete. It doubles twice, since
         /// all processes of a large fleet may compete in a store that refuses calls beyond its rate.
         base::duration retryDelay = std::chrono::milliseconds(400);
+        /// Returns true if this process renews the lease with this number for other keys.
+        std::function<bool(std::uint64_t)> renewsLease = {};
     };
 
     order_lease_holder(platform::kv_store& store, const state_decoder& decoder, base::scheduler& timers,
@@ -40,6 +43,10 @@
     /// Updates the holder of the lease according to the store at \a revision; empty if there is none.
     void leaseObserved(const std::optional<order_lease>& current, std::uint64_t revision);
 
+    /// Removes the key if it is left from an earlier era of the store and only this process can tell. To be
+    /// called periodically, since the lease on which it hangs may become known later.
+    void removeStrayKey();
+
     /// Releases the lease because the process stops.
     void release();
 
@@ -73,8 +80,9 @@
     /// Ends what this process holds if the store has begun another era.
     void noteEra();
     std::uint64_t tokenOf(std::uint64_t createdRevision) const;
-    /// Removes a key with the id of this process that it does not hold.
-    void removeStrayKey();
+    /// Returns true if the key in the store is left from a write of an earlier era: it has the id of this
+    /// process, which does not hold it, or hangs on another lease of this process.
+    bool isKeyStray() const;
     void endLease();
     void scheduleRenewal();
     void renew();
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -126,7 +126,12 @@
     , m_lease(m_store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .takeoverDelay
-              = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderTakeoverDelay })
+              = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderTakeoverDelay,
+              .renewsLease =
+                  [this](std::uint64_t lease) {
+                      return lease != 0
+                          && (lease == m_presence.lease() || lease == m_quarantineExchange.lease());
+                  } })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log,
           { .process = m_options.process, .changeover = { .versionLimit = m_options.versionLimit } })
     , m_rollouts(m_targets, m_store, ports.decoder, m_lease, loop, time, m_random, log, m_metrics,
@@ -298,6 +303,7 @@
     removeMissingProcesses();
     m_targets.setIsolated(!m_follower.isReachable());
     m_rollouts.setStoreReachable(m_follower.isReachable());
+    m_lease.removeStrayKey();
     m_rollout.step();
     m_contextReclaimer.sweep();
     m_quarantine.removeExpired();
--- a/src/libs/relay/store/presence.h
+++ b/src/libs/relay/store/presence.h
@@ -60,6 +60,9 @@
     /// that a pause of this process cannot make it look younger.
     bool isKnownToOthers(base::duration maxAge) const;
 
+    /// Returns the number of the lease on which the registration hangs; 0 if there is none.
+    std::uint64_t lease() const { return m_lease.id(); }
+
     /// Removes the key when the process stops.
     void withdraw();
 
--- a/src/libs/relay/store/state_decoder.h
+++ b/src/libs/relay/store/state_decoder.h
@@ -34,6 +34,7 @@
 struct order_lease {
     std::string holder;
     std::uint64_t createdRevision = 0; ///< Of the key; orders the holders of one era of the store.
+    std::uint64_t lease = 0; ///< Of the store, on which the key hangs.
 };
 
 /// What a process or an operator has stored of parts that end targets.
