--- a/scripts/switch_off.py
+++ b/scripts/switch_off.py
@@ -113,7 +113,7 @@
      "return (era << revisionBits) + revision;", "return era == 0 ? revision : revision + 0 * revisionBits;"),
     ("ONE", "a lease counts in later eras", RELAY + "store/store_lease.h", "m_era == m_store.era() ? m_id : 0", "m_id"),
     ("ONE", "a holder of a new era does not wait for those of earlier ones", RELAY + "orders/order_lease_holder.cpp",
-     "std::max(m_clock.now() + m_options.takeoverDelay, m_earlierLeasesEnd)", "m_clock.now() + m_options.takeoverDelay"),
+     "std::max(m_clock.now(), m_earlierLeasesEnd)", "m_clock.now()"),
     ("ONE", "orders are sent immediately after another holder", RELAY + "orders/order_lease_holder.cpp",
      "&& m_clock.now() >= m_mayOrderFrom", ""),
     ("STALE", "requests do not state the expected weights", "platform/header_dialect.cpp",
--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -67,7 +67,7 @@
     const std::uint64_t before = std::exchange(m_era, m_store.era());
     if (before == m_era)
         return;
-    m_earlierLeasesEnd = m_clock.now() + m_options.timeToLive - m_options.margin;
+    m_earlierLeasesEnd = m_clock.now() + m_options.timeToLive;
     m_observed.reset();
     m_isVacant = false; // Until the state of this era is known.
     if (m_token != 0)
@@ -245,7 +245,7 @@
     m_failures = 0;
     m_token = tokenOf(createdRevision);
     m_lease.confirm(sentAt);
-    m_mayOrderFrom = std::max(m_clock.now() + m_options.takeoverDelay, m_earlierLeasesEnd);
+    m_mayOrderFrom = std::max(m_clock.now(), m_earlierLeasesEnd) + m_options.takeoverDelay;
     reportHeld("yes", reason);
     scheduleRenewal();
 }
--- a/tests/libs/relay/orders/stray_key_test.cpp
+++ b/tests/libs/relay/orders/stray_key_test.cpp
@@ -227,6 +227,36 @@
     CHECK(fleet->runUntilSender(20s));
 }
 
+TEST_CASE("after a new era, a holder waits for orders of the former one as it does otherwise")
+{
+    // Guards against a lower token after a higher one at a target that doesn't check tokens.
+    constexpr base::duration delay = 3s; // The default of the relay.
+    for (const bool isDrill : { false, true }) {
+        CAPTURE(isDrill);
+        lease_fleet fleet(3, delay);
+        const auto copy = fleet.store.state();
+        REQUIRE(fleet.runUntilSender(9s));
+        auto* former = fleet.sender();
+        fleet.run(3s);
+        // Cut off right after a renewal that was answered.
+        fleet.run(100ms);
+        const std::size_t writes = fleet.store.writes;
+        while (fleet.store.writes == writes)
+            fleet.run(1ms);
+        fleet.run(5ms);
+        former->view.isCut = true;
+        if (isDrill) {
+            fleet.store.restore(copy);
+            fleet.store.advanceRevision(1000);
+        }
+        fleet.run(12s);
+        REQUIRE(fleet.sender());
+        REQUIRE(fleet.sender() != former);
+        REQUIRE(fleet.shortestGap);
+        CHECK(*fleet.shortestGap >= delay);
+    }
+}
+
 TEST_CASE("a key of an earlier era that appears while another one is removed is removed as well")
 {
     // Guards against orders that nobody can send for as long as the process lives on whose lease the key
