--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -195,6 +195,8 @@
                     .lease = m_storeLease.id() },
         [this, sentAt](base::result<std::uint64_t> revision) {
             noteEra();
+            if (m_released) // The lease has been ended, and the key with it.
+                return;
             if (revision)
                 return acquired(sentAt, *revision, "taken");
             if (m_storeLease.id() == 0)
@@ -221,6 +223,8 @@
     m_store.get(
         m_decoder.orderLeaseKey(), [this, sentAt](base::result<std::optional<platform::kv_entry>> entry) {
             noteEra();
+            if (m_released)
+                return;
             // A key on another lease is that of a write from an earlier era.
             if (m_storeLease.id() != 0 && entry && *entry && (*entry)->value == m_options.process
                 && (*entry)->lease == m_storeLease.id())
@@ -252,14 +256,14 @@
 
 void order_lease_holder::scheduleRenewal()
 {
-    m_timers.runAfter(m_options.timeToLive / renewalsPerLease, [this] {
-        if (m_token != 0)
-            renew();
-    });
+    m_timers.runAfter(m_options.timeToLive / renewalsPerLease, [this] { renew(); });
 }
 
 void order_lease_holder::renew()
 {
+    noteEra();
+    if (m_token == 0)
+        return;
     const base::time_point sentAt = m_clock.now();
     m_store.keepAlive(m_storeLease.id(), [this, sentAt, token = m_token](base::result<void> renewed) {
         noteEra();
--- a/tests/libs/relay/orders/stray_key_test.cpp
+++ b/tests/libs/relay/orders/stray_key_test.cpp
@@ -257,6 +257,23 @@
     }
 }
 
+TEST_CASE("a process that stops while its write is under way does not order afterwards")
+{
+    // Guards against orders under a lease that the process has ended.
+    lease_fleet fleet(1);
+    fleet.store.stateEras(0); // Else the wait after a new era hides it.
+    const std::size_t writes = fleet.store.writes;
+    while (fleet.store.writes < writes + 2)
+        fleet.run(1ms);
+    fleet.processes[0]->holder.release();
+    bool hasOrdered = false;
+    for (int i = 0; i < 2000; ++i) {
+        fleet.run(1ms);
+        hasOrdered = hasOrdered || fleet.processes[0]->holder.mayOrder();
+    }
+    CHECK_FALSE(hasOrdered);
+}
+
 TEST_CASE("a key of an earlier era that appears while another one is removed is removed as well")
 {
     // Guards against orders that nobody can send for as long as the process lives on whose lease the key
