--- a/src/libs/relay/relay_server.h
+++ b/src/libs/relay/relay_server.h
@@ -17,7 +17,6 @@
 #include <relay/targets/excluded_domains.h>
 
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -1,6 +1,7 @@
 #include "events.h"
 #include "relay_server.h"
 
+#include <set>
 #include <utility>
 #include <variant>
 
--- a/tests/libs/relay/orders/orders_test.cpp
+++ b/tests/libs/relay/orders/orders_test.cpp
@@ -204,6 +204,19 @@
     CHECK(f.engines.orders.front().holder == f.engines.orders.back().holder);
 }
 
+TEST_CASE("an older wanted version that an older copy of the store names is not ordered")
+{
+    // Guards against targets that go back to weights that have been replaced.
+    fixture f(4, 18);
+    f.run(std::chrono::seconds(2));
+    f.setWantedVersion(3);
+    f.run(std::chrono::seconds(6));
+    f.setWantedVersion(2);
+    f.run(std::chrono::seconds(6));
+    CHECK(f.allHave(3));
+    CHECK(f.engines.loads == 18);
+}
+
 TEST_CASE("an order whose answer is lost is repeated only if it had no effect")
 {
     // Guards against a second load of the same weights.
