--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -269,9 +269,9 @@
 inline constexpr base::event_definition rolloutStatusWritten { .id = "MB-2074",
     .level = base::log_level::Info,
     .name = "relay_rollout_status_written",
-    .meaning
-    = "This process wrote the state of a roll-out, or failed to; fields: service, to, state, reason "
-      "(requested, moved, requests_unfinished, judged_bad, no_targets, no_answers or withdrawn), outcome.",
+    .meaning = "This process wrote the state of a roll-out, or failed to; fields: service, to, state, reason "
+               "(requested, moved, requests_unfinished, judged_bad, no_targets, no_answers, withdrawn or "
+               "store_older: the store has lost the decision), outcome.",
     .action = "" };
 
 inline constexpr base::event_definition rolloutWorse { .id = "MB-2075",
--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -71,6 +71,7 @@
 {
     m_presence.eraRaised(before);
     m_quarantineExchange.eraRaised(before);
+    m_rollouts.eraRaised();
     if (!m_follower.hasState())
         return;
     m_log.write(events::storeOlder,
@@ -134,6 +135,7 @@
     std::set<std::string> rolloutRequests;
     std::set<std::string> rolloutStates;
     m_replacing = true;
+    m_rollouts.snapshotBegins();
     for (const state_item& item : present) {
         changed(item);
         leaseHeld = leaseHeld || std::holds_alternative<order_lease>(item);
--- a/src/libs/relay/rollout/rollout_control.cpp
+++ b/src/libs/relay/rollout/rollout_control.cpp
@@ -4,6 +4,7 @@
 #include <relay/log_fields.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -116,13 +117,55 @@
     return found;
 }
 
+void rollout_control::eraRaised()
+{
+    if (m_items.empty())
+        return;
+    for (auto& [service, at] : m_items) {
+        at.rollout.eraRaised();
+        at.copied.reset();
+    }
+    m_rewrittenUntil = m_clock.now() + m_options.operatorTime;
+    m_timers.runAfter(m_options.operatorTime, [this, until = m_rewrittenUntil] {
+        if (until == m_rewrittenUntil)
+            applyCopiedRequests();
+    });
+    scheduleStep();
+}
+
+bool rollout_control::isRequestKept(item& at, const rollout_request& request)
+{
+    const rollout_status& status = at.rollout.status();
+    const bool isDecided = at.rollout.request().to.empty() && status.state != rollout_state::Running;
+    const std::string& known = isDecided ? status.to : at.rollout.request().to;
+    if (m_clock.now() >= m_rewrittenUntil || known.empty())
+        return false;
+    if (request.to == known) {
+        at.rollout.requestRewritten(request);
+        return true;
+    }
+    if (m_isInSnapshot)
+        at.copied = request;
+    return m_isInSnapshot;
+}
+
+void rollout_control::applyCopiedRequests()
+{
+    for (auto& [service, at] : m_items)
+        if (const auto copied = std::exchange(at.copied, std::nullopt))
+            requestObserved(*copied, true);
+}
+
 void rollout_control::requestObserved(const rollout_request& request, bool isWitnessed)
 {
     if (request.to.empty() && !m_items.contains(request.service))
         return;
     item& at = itemFor(request.service);
+    at.copied.reset();
     if (request.to == at.rollout.request().to && request.revision == at.rollout.request().revision)
         return;
+    if (isRequestKept(at, request))
+        return scheduleStep();
     at.rollout.setRequest(request, targetsOf(at.rollout), isWitnessed);
     at.isBadLogged = false;
     at.loggedPhase = at.rollout.phase();
@@ -162,6 +205,7 @@
         if (!statuses.contains(service))
             statusObserved({ .service = service });
     }
+    m_isInSnapshot = false;
 }
 
 version_lane rollout_control::laneOf(std::string_view service, std::string_view version) const
@@ -304,7 +348,7 @@
         .to = request.to.empty() ? present.to : request.to };
     m_store.put({ .key = m_decoder.rolloutStatusKey(status.service),
                     .value = m_decoder.rolloutStatusValue(status),
-                    .expectedRevision = present.revision },
+                    .expectedRevision = at.rollout.storedRevision() },
         [this, status, reason = decision.reason](base::result<std::uint64_t> revision) {
             writeEnded(status.service, status, reason, std::move(revision));
         });
--- a/src/libs/relay/rollout/rollout_control.h
+++ b/src/libs/relay/rollout/rollout_control.h
@@ -10,6 +10,7 @@
 #include <platform/kv_store.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -30,12 +31,20 @@
         base::duration interval = std::chrono::milliseconds(100);
         /// Wait after a write that failed.
         base::duration retryDelay = std::chrono::milliseconds(250);
+        /// Time in which an operator writes again what the store has lost.
+        base::duration operatorTime = std::chrono::seconds(5);
     };
 
     rollout_control(target_registry& targets, platform::kv_store& store, const state_decoder& decoder,
         order_lease_holder& lease, base::scheduler& timers, const base::clock& time,
         base::random_source& random, const base::event_log& log, relay_metrics& metrics, options opts);
 
+    /// Keeps requests and decisions that the store may have lost, since it has begun another era.
+    void eraRaised();
+
+    /// Tells that what is observed until `retain` is the whole state.
+    void snapshotBegins() { m_isInSnapshot = true; }
+
     /// Records an entry of the platform's store. \a isWitnessed unless it is from before the start of this
     /// process.
     void requestObserved(const rollout_request& request, bool isWitnessed);
@@ -75,6 +84,8 @@
         bool isWriting = false;
         base::time_point nextWriteAt {};
         bool isBadLogged = false;
+        /// What the first snapshot of an era has instead of the request in force, which may be older.
+        std::optional<rollout_request> copied = {};
         rollout_phase loggedPhase = rollout_phase::Observing;
         std::map<std::string, base::time_point> lastLost = {}; ///< By target.
     };
@@ -82,6 +93,9 @@
     item& itemFor(const std::string& service);
     rollout_targets targetsOf(const service_rollout& rollout) const;
     exposure_member memberFor(std::string_view service) const;
+    /// Returns true if \a request does not end the one in force.
+    bool isRequestKept(item& at, const rollout_request& request);
+    void applyCopiedRequests();
     void applyVersions(std::string_view service);
     void scheduleStep();
     void step();
@@ -107,6 +121,8 @@
     std::vector<std::string> m_peers;
     bool m_storeReachable = true;
     bool m_stepScheduled = false;
+    bool m_isInSnapshot = false;
+    base::time_point m_rewrittenUntil {}; ///< An operator writes again until then.
     base::time_point m_sectionAt {};
     std::map<std::string, item, std::less<>> m_items;
 };
--- a/src/libs/relay/rollout/service_rollout.cpp
+++ b/src/libs/relay/rollout/service_rollout.cpp
@@ -1,6 +1,7 @@
 #include "service_rollout.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigold::relay {
 
@@ -20,7 +21,7 @@
 
 service_rollout::use service_rollout::state() const
 {
-    if (!m_request.to.empty() && !statusAnswersRequest())
+    if (!m_request.to.empty() && !m_isKept && !statusAnswersRequest())
         return use::Running;
     if (m_status.to.empty())
         return use::Unrestricted;
@@ -74,12 +75,41 @@
     m_peers.clear();
     m_startedLater = !isWitnessed;
     m_completedAt.reset();
+    if (std::exchange(m_isKept, false))
+        applyStatus(m_stored);
+}
+
+void service_rollout::eraRaised()
+{
+    m_isKept = state() == use::Completed
+        || (state() == use::RolledBack && m_status.state == rollout_state::RolledBack);
+    m_request.revision = 0;
+    m_status.revision = 0;
+    m_stored = {};
+}
+
+void service_rollout::requestRewritten(const rollout_request& request)
+{
+    const bool isDecided = state() != use::Running;
+    m_request = request;
+    m_isKept = isDecided && !statusAnswersRequest();
 }
 
 void service_rollout::setStatus(const rollout_status& status)
 {
-    if (!status.to.empty() && status.revision <= m_status.revision)
+    if (!status.to.empty() && status.revision <= m_stored.revision)
         return;
+    m_stored = status;
+    const bool isConfirmed = status.to == m_status.to && status.state == m_status.state
+        && (m_request.to.empty() || status.revision > m_request.revision);
+    if (m_isKept && !isConfirmed)
+        return;
+    m_isKept = false;
+    applyStatus(status);
+}
+
+void service_rollout::applyStatus(const rollout_status& status)
+{
     const use before = state();
     m_status = status;
     const std::uint64_t version = base::hash64(status.to);
@@ -113,7 +143,7 @@
 
 void service_rollout::reportReceived(std::string_view process, const version_report& report)
 {
-    if (report.request != m_request.revision || m_request.to.empty())
+    if (report.request != requestId() || m_request.to.empty())
         return;
     const base::time_point now = m_clock.now();
     m_lastContact = now;
@@ -128,6 +158,11 @@
     m_isBad = m_isBad || report.isBad;
 }
 
+std::uint64_t service_rollout::requestId() const
+{
+    return m_request.revision != 0 ? m_request.revision : base::hash64(m_request.to);
+}
+
 bool service_rollout::isUsual(std::uint64_t version) const
 {
     return m_usual.empty() ? !m_barred.contains(version) : m_usual.contains(version);
@@ -281,6 +316,8 @@
 
 std::optional<service_rollout::decision> service_rollout::due() const
 {
+    if (m_isKept)
+        return decision { .state = m_status.state, .reason = "store_older" };
     if (state() != use::Running) {
         if (m_request.to.empty() && !m_status.to.empty() && m_status.state == rollout_state::Running)
             return decision { .state = rollout_state::RolledBack, .reason = "withdrawn" };
@@ -307,10 +344,10 @@
 std::optional<version_report> service_rollout::report() const
 {
     const bool isReviewed = m_completedAt && m_clock.now() - *m_completedAt < m_options.reviewTime;
-    if (m_request.to.empty() || (state() != use::Running && !isReviewed))
+    if (m_request.to.empty() || (state() != use::Running && !isReviewed && !m_isKept))
         return std::nullopt;
     return version_report { .service = base::hash64(m_options.service),
-        .request = m_request.revision,
+        .request = requestId(),
         .age = age(),
         .phase = m_phase,
         .isBad = m_isBad,
--- a/src/libs/relay/rollout/service_rollout.h
+++ b/src/libs/relay/rollout/service_rollout.h
@@ -28,7 +28,8 @@
 /// The versions of one service in one process: what the operator and the status entry say, what this process
 /// and its peers have measured, and what follows for the next request.
 ///
-/// The status entry counts for the request if it names the same version and has a later revision. Every
+/// The status entry counts for the request if it names the same version and has a later revision. A decision
+/// that the platform's store has lost stays in force, and is due to be written again. Every
 /// process stops at the first sign of a bad version that it or a peer finds; only the process that may write
 /// the status begins a new phase, and the others follow its reports.
 class service_rollout {
@@ -58,6 +59,12 @@
     /// Records the request in force; \a isWitnessed unless it was written before this process started.
     void setRequest(const rollout_request& request, const rollout_targets& targets, bool isWitnessed);
     void setStatus(const rollout_status& status);
+
+    /// Keeps what is known, and forgets its revisions, since the platform's store has begun another era.
+    void eraRaised();
+
+    /// Records that the request in force has been written again.
+    void requestRewritten(const rollout_request& request);
     void setMember(const exposure_member& member) { m_member = member; }
 
     /// Sets the ids of the other registered processes.
@@ -100,6 +107,9 @@
 
     const rollout_request& request() const { return m_request; }
     const rollout_status& status() const { return m_status; }
+
+    /// Returns the revision of the status entry in the platform's store; 0 if it is absent.
+    std::uint64_t storedRevision() const { return m_stored.revision; }
     rollout_phase phase() const { return m_phase; }
     base::duration age() const;
     bool isRunning() const { return state() == use::Running; }
@@ -114,6 +124,9 @@
 
     use state() const;
     bool statusAnswersRequest() const;
+    /// Names the request in reports, also until it has been written again.
+    std::uint64_t requestId() const;
+    void applyStatus(const rollout_status& status);
     bool isUsual(std::uint64_t version) const;
     bool hasContact() const;
     bool mayExpose() const;
@@ -125,7 +138,10 @@
     const base::clock& m_clock;
     options m_options;
     rollout_request m_request;
-    rollout_status m_status;
+    rollout_status m_status; ///< In force.
+    rollout_status m_stored; ///< In the platform's store.
+    /// The status in force is a decision that the platform's store has lost, or had before the request.
+    bool m_isKept = false;
     rollout_targets m_targets;
     exposure_member m_member;
     bool m_startedLater = false;
--- a/tests/libs/relay/rollout/rollout_control_test.cpp
+++ b/tests/libs/relay/rollout/rollout_control_test.cpp
@@ -384,3 +384,89 @@
     f.run(10);
     CHECK(f.last() == "completed v2");
 }
+
+TEST_CASE("a roll-out that was decided stays so though the store returns from an older copy")
+{
+    // Guards against a bad version that gets requests again, and against a state in the store that
+    // contradicts the one that was reported, since both requests and states have got other revisions.
+    const auto names
+        = [](bool isPresent) { return isPresent ? std::set<std::string> { "s" } : std::set<std::string> {}; };
+    enum class copied { Nothing, EarlierRollout, Request, Running };
+    for (const std::size_t count : { 3, 48 })
+        for (const copied copy :
+            { copied::Nothing, copied::EarlierRollout, copied::Request, copied::Running })
+            for (const bool isBad : { false, true })
+                for (const double at : { 4.0, 13.0 }) // Before and after the decision of a sound version.
+                    for (const std::uint64_t changes : { 0, 1, 1000 }) {
+                        if (count > 3 && (changes > 0 || at < 12))
+                            continue;
+                        CAPTURE(count);
+                        CAPTURE(static_cast<int>(copy));
+                        CAPTURE(isBad);
+                        CAPTURE(at);
+                        CAPTURE(changes);
+                        fixture f(count);
+                        f.store.stateEras();
+                        f.run(4);
+                        auto used = f.store.state();
+                        rollout_request inCopy { .service = "s" };
+                        if (copy == copied::EarlierRollout) {
+                            f.ask("v1");
+                            f.store.put({ .key = "status", .value = "completed v1" }, [](const auto&) {});
+                            f.timers.advance(f.store.delay);
+                            inCopy = f.request;
+                            f.run(1);
+                            used = f.store.state();
+                        }
+                        f.ask("v2");
+                        if (copy == copied::Request) {
+                            inCopy = f.request;
+                            used = f.store.state();
+                        }
+                        f.fails = [isBad, n = 0](std::string_view version) mutable {
+                            return version == "v2" && isBad && ++n % 2 == 0;
+                        };
+                        f.run(0.3);
+                        if (copy == copied::Running) {
+                            inCopy = f.request;
+                            used = f.store.state();
+                        }
+                        f.store.advanceRevision(40);
+                        f.run(at - 0.3);
+                        const auto stored = used.entries.find("status");
+                        const bool isRunningInCopy
+                            = stored != used.entries.end() && stored->second.value == "running v2";
+                        const std::string before = f.last();
+                        const bool isDecided = before != "running v2";
+                        const int sentBefore = f.sent[isBad ? "v2" : "v1"];
+                        f.written.clear();
+                        f.store.down = true;
+                        f.run(1);
+                        f.store.restore(used);
+                        f.store.advanceRevision(changes == 0 ? 0 : 40 + changes);
+                        f.store.down = false;
+                        f.request = inCopy;
+                        for (const auto& item : f.processes) {
+                            item->rollouts.eraRaised();
+                            item->rollouts.snapshotBegins();
+                            item->rollouts.requestObserved(inCopy, true);
+                            item->rollouts.retain(
+                                names(!inCopy.to.empty()), names(stored != used.entries.end()));
+                        }
+                        if (copy == copied::EarlierRollout)
+                            f.request = {};
+                        f.run(2);
+                        f.ask("v2"); // Written again by the operator.
+                        f.run(isDecided ? 4 : 14);
+                        const std::string expected = isBad ? "rolled_back v2" : "completed v2";
+                        CHECK((!isDecided || before == expected));
+                        CHECK(f.last() == expected);
+                        CHECK(std::ranges::none_of(f.written, [&](const std::string& value) {
+                            return value.ends_with("v2") && value != expected && value != "running v2";
+                        }));
+                        if (isDecided) {
+                            CHECK(std::ranges::count(f.written, "running v2") == isRunningInCopy);
+                            CHECK(f.sent[isBad ? "v2" : "v1"] == sentBefore);
+                        }
+                    }
+}
