--- a/src/libs/relay/store/watch_schedule.cpp
+++ b/src/libs/relay/store/watch_schedule.cpp
@@ -195,14 +195,14 @@
 {
     try {
         const nlohmann::json value = parseMessagePack(bytes);
-        const auto integerAt = [&](std::size_t index, std::int64_t highest) {
-            return integerOf(value.at(index), std::uint64_t { 0 }, static_cast<std::uint64_t>(highest));
+        const auto integerAt = [&](std::size_t index, std::uint64_t highest) {
+            return integerOf(value.at(index), std::uint64_t { 0 }, highest);
         };
         constexpr std::size_t eraIndex = 3;
-        constexpr std::int64_t maxEra = maxExactInteger >> platform::revisionBits;
-        const std::uint64_t era = value.size() > eraIndex ? integerAt(eraIndex, maxEra) : 0;
-        return watch_schedule::report { .position = platform::positionOf(era, integerAt(0, maxExactInteger)),
-            .urgentPosition = platform::positionOf(era, integerAt(1, maxExactInteger)),
+        constexpr std::uint64_t maxRevision = (std::uint64_t { 1 } << platform::revisionBits) - 1;
+        const std::uint64_t era = value.size() > eraIndex ? integerAt(eraIndex, platform::maxEra) : 0;
+        return watch_schedule::report { .position = platform::positionOf(era, integerAt(0, maxRevision)),
+            .urgentPosition = platform::positionOf(era, integerAt(1, maxRevision)),
             .replyAge = millisecondsOf(value.at(2)) };
     } catch (const std::exception& error) { // Exceptions of nlohmann/json and document_error.
         return base::notRun(base::error_reason::InvalidRequest, error.what());
--- a/tests/support/store_view.h
+++ b/tests/support/store_view.h
@@ -76,7 +76,7 @@
             m_store.failLater(done);
             return {};
         }
-        return [this, sentIn = m_era.current(), done](base::result<T> result) {
+        return [this, sentIn = m_era.sent(), done](base::result<T> result) {
             const bool isReply = !isCut && (result || result.error().verdict == base::verdict::NotRun);
             if (!isReply || !m_era.replyReceived(sentIn, m_store.era()))
                 result = base::mayHaveRun(base::error_reason::Unavailable, "no reply of the present state");
