--- a/tests/libs/relay/store/state_follower_test.cpp
+++ b/tests/libs/relay/store/state_follower_test.cpp
@@ -73,7 +73,13 @@
     base::event_log log { { .output = [](std::string_view) {} } };
     plain_decoder decoder;
     state_recorder state { clock };
-    state_follower follower { store, decoder, timers, clock, random, log, state, {} };
+    testing::store_view view { store };
+    state_follower follower { view, decoder, timers, clock, random, log, state, {} };
+
+    fixture()
+    {
+        view.setEraObserver([this](std::uint64_t, std::uint64_t) { follower.eraRaised(); });
+    }
 
     void write(const std::string& key, const std::string& value)
     {
@@ -306,14 +312,19 @@
 
 TEST_CASE("the state matches the store after any sequence of faults")
 {
-    // Guards against lost removals and changes across faults, restarts of the watch and lost history.
-    CHECK(rc::check("follower", [] {
+    // Guards against lost removals and changes across faults, restarts of the watch, lost history and returns
+    // from an older copy.
+    constexpr int withoutReturns = 6;
+    constexpr int withReturns = 8;
+    const auto check = [](int faults) {
         fixture f;
+        f.store.stateEras(faults == withReturns ? 1 : 0);
         f.follower.start();
         std::map<std::string, std::string> wanted;
+        auto copy = f.store.state();
         for (int i = 0; i < 25; ++i) {
             const std::string key = "t/" + std::to_string(*rc::gen::inRange(0, 5));
-            switch (*rc::gen::inRange(0, 6)) {
+            switch (*rc::gen::inRange(0, faults)) {
             case 0:
                 if (f.store.entries.contains(key))
                     f.store.erase(key);
@@ -327,6 +338,13 @@
             case 3:
                 f.store.faults.push_back(testing::kv_fault::LostRequest);
                 break;
+            case withoutReturns:
+                copy = f.store.state();
+                break;
+            case withoutReturns + 1:
+                f.store.restore(copy);
+                f.store.advanceRevision(*rc::gen::inRange<std::uint64_t>(0, 30));
+                break;
             default:
                 f.write(key, std::to_string(i));
             }
@@ -337,7 +355,9 @@
         for (const auto& [key, entry] : f.store.entries)
             wanted[key] = entry.value;
         RC_ASSERT(f.state.held == wanted);
-    }));
+    };
+    CHECK(rc::check("follower", [&] { check(withoutReturns); }));
+    CHECK(rc::check("follower with returns", [&] { check(withReturns); }));
 }
 
 namespace {
