--- a/tests/libs/relay/orders/stray_key_test.cpp
+++ b/tests/libs/relay/orders/stray_key_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -312,3 +314,116 @@
     fleet->processes[1]->view.isCut = false;
     CHECK(fleet->runUntilSender(60s));
 }
+
+namespace {
+
+struct random_play {
+    std::uint64_t seed = 1;
+    int restores = 0; ///< Returns of the store from random earlier copies.
+    bool losesCalls = false; ///< Calls are lost or carried out late.
+    bool statesFirstEra = true; ///< Else the store states no era before its first return.
+};
+
+struct play_outcome {
+    int sharedTokens = 0;
+    int lowerTokens = 0;
+    int sendersAtOnce = 0;
+    bool hasSender = false;
+};
+
+void check(
+    const lease_fleet& fleet, std::map<std::uint64_t, std::size_t>& holderOfToken, play_outcome& outcome)
+{
+    int senders = 0;
+    for (std::size_t i = 0; i < fleet.processes.size(); ++i) {
+        const order_lease_holder& holder = fleet.processes[i]->holder;
+        if (!holder.mayOrder())
+            continue;
+        ++senders;
+        const bool isLower = !holderOfToken.empty() && holder.token() < holderOfToken.rbegin()->first;
+        outcome.lowerTokens += isLower ? 1 : 0;
+        outcome.sharedTokens += holderOfToken.emplace(holder.token(), i).first->second == i ? 0 : 1;
+    }
+    outcome.sendersAtOnce = std::max(outcome.sendersAtOnce, senders);
+}
+
+play_outcome play(const random_play& played)
+{
+    base::random_source random(played.seed);
+    const auto upTo = [&random](base::duration longest) {
+        return base::duration(
+            static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(longest.count()))));
+    };
+    lease_fleet fleet(4);
+    fleet.store.stateEras(played.statesFirstEra ? 1 : 0);
+    play_outcome outcome;
+    std::map<std::uint64_t, std::size_t> holderOfToken;
+    const auto run = [&](base::duration time) {
+        for (base::duration passed {}; passed < time; passed += 5ms) {
+            fleet.run(5ms);
+            check(fleet, holderOfToken, outcome);
+        }
+    };
+    std::vector<testing::fake_kv_store::state_copy> copies { fleet.store.state() };
+    int restores = played.restores;
+    run(2s);
+    for (int step = 0; step < 40; ++step) {
+        for (auto& process : fleet.processes)
+            process->view.isCut = random.below(5) == 0;
+        if (random.below(3) == 0)
+            copies.push_back(fleet.store.state());
+        for (int i = 0; played.losesCalls && i < 6; ++i) {
+            constexpr std::array kinds { kv_fault::None, kv_fault::None, kv_fault::LostRequest,
+                kv_fault::LostAnswer, kv_fault::LateEffect };
+            fleet.store.faults.push_back(kinds[random.below(kinds.size())]);
+        }
+        fleet.store.lateBy = upTo(3s);
+        if (restores > 0 && random.below(4) == 0) {
+            --restores;
+            fleet.store.down = random.below(2) == 0;
+            run(upTo(1500ms));
+            fleet.store.down = false;
+            fleet.store.restore(copies[random.below(copies.size())]);
+            if (fleet.store.era() == 0)
+                fleet.store.stateEras();
+            for (std::uint64_t i = random.below(4); i > 0; --i)
+                fleet.store.grantLease(registrationTime, [](base::result<std::uint64_t>) {});
+            fleet.store.advanceRevision(random.below(3));
+        }
+        fleet.store.advanceRevision(random.below(2));
+        run(upTo(1500ms));
+    }
+    fleet.store.faults.clear();
+    for (auto& process : fleet.processes)
+        process->view.isCut = false;
+    run(30s);
+    outcome.hasSender = fleet.sender() != nullptr;
+    return outcome;
+}
+
+void playSeeds(random_play played, std::uint64_t first, std::uint64_t last)
+{
+    for (played.seed = first; played.seed <= last; ++played.seed) {
+        CAPTURE(played.seed);
+        CAPTURE(played.restores);
+        CAPTURE(played.losesCalls);
+        CAPTURE(played.statesFirstEra);
+        const play_outcome outcome = play(played);
+        CHECK(outcome.sharedTokens == 0);
+        CHECK(outcome.lowerTokens == 0);
+        CHECK(outcome.sendersAtOnce <= 1);
+        CHECK(outcome.hasSender);
+    }
+}
+
+} // namespace
+
+TEST_CASE("random returns, cuts and lost calls keep tokens apart and orders flowing")
+{
+    // Guards against combinations of failures that no other case plays.
+    for (const random_play& played : { random_play { .losesCalls = true }, random_play { .restores = 6 },
+             random_play { .restores = 6, .statesFirstEra = false },
+             random_play { .restores = 6, .losesCalls = true },
+             random_play { .restores = 6, .losesCalls = true, .statesFirstEra = false } })
+        playSeeds(played, 1, 60);
+}
