--- a/tests/libs/relay/store/state_follower_test.cpp
+++ b/tests/libs/relay/store/state_follower_test.cpp
@@ -1,9 +1,11 @@
 #include <relay/store/state_follower.h>
 #include <support/delayed_kv_store.h>
 #include <support/fake_kv_store.h>
+#include <support/store_view.h>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 
@@ -123,17 +125,20 @@
     plain_decoder decoder;
     struct process {
         std::string id;
+        testing::store_view view;
         testing::delayed_kv_store path;
         state_recorder state;
         state_follower follower;
 
         process(follower_fleet& fleet, std::string name)
             : id(std::move(name))
-            , path(fleet.store, fleet.timers)
+            , view(fleet.store)
+            , path(view, fleet.timers)
             , state(fleet.clock)
             , follower(path, fleet.decoder, fleet.timers, fleet.clock, fleet.random, fleet.log, state,
                   { .process = id })
         {
+            view.setEraObserver([this](std::uint64_t, std::uint64_t) { follower.eraRaised(); });
         }
     };
     std::vector<std::unique_ptr<process>> processes;
@@ -141,8 +146,9 @@
     int lossInterval = 0; ///< Every n-th report is lost; 0 for none.
     int reports = 0;
 
-    explicit follower_fleet(int count)
+    explicit follower_fleet(int count, std::uint64_t firstEra = 0)
     {
+        store.stateEras(firstEra);
         for (int i = 0; i < count; ++i)
             processes.push_back(std::make_unique<process>(*this, "p" + std::to_string(i)));
         std::vector<std::string_view> ids;
@@ -154,9 +160,9 @@
         }
     }
 
-    void write(const std::string& value)
+    void write(const std::string& value, const std::string& key = "t/a")
     {
-        store.put({ .key = "t/a", .value = value }, [](base::result<std::uint64_t>) {});
+        store.put({ .key = key, .value = value }, [](base::result<std::uint64_t>) {});
     }
 
     bool isSentinel(std::size_t number)
@@ -172,6 +178,8 @@
             for (int i = 0; i < 20; ++i)
                 timers.advance(step / 20);
             for (std::size_t from = 0; from < processes.size(); ++from) {
+                if (lossInterval == 0 && !processes[from]->follower.schedule().isSentinel())
+                    continue; // Reports of others are ignored.
                 const auto report = decodeWatchReport(encode(processes[from]->follower.schedule().own()));
                 REQUIRE(report);
                 for (const auto& to : processes)
@@ -331,3 +339,190 @@
         RC_ASSERT(f.state.held == wanted);
     }));
 }
+
+namespace {
+
+enum class copied { BeforeStart, AfterStart };
+enum class next_revision {
+    Below,
+    Equal,
+    Above
+}; ///< Of the store when it returns, compared with the last one.
+
+enum class unheard {
+    None,
+    Cut, ///< Every third process hears nothing of the store from before the drill until after it.
+    Silent, ///< The watches that wait when the store goes away get no reply.
+};
+
+struct return_drill {
+    int processes;
+    copied copy;
+    next_revision next;
+    unheard hearing;
+    std::uint64_t firstEra = 1; ///< 0 if the store states none.
+};
+
+/// Returns how many processes of \a fleet hold another state than the store.
+std::ptrdiff_t countDifferent(const follower_fleet& fleet)
+{
+    std::map<std::string, std::string> wanted;
+    for (const auto& [key, entry] : fleet.store.entries)
+        wanted[key] = entry.value;
+    return std::ranges::count_if(
+        fleet.processes, [&wanted](const auto& one) { return one->state.held != wanted; });
+}
+
+/// Lets the store return twice from a copy that lacks the last changes, and changes it 50 ms after each
+/// return.
+void checkReturnKnown(const return_drill& played)
+{
+    using std::chrono::milliseconds;
+    constexpr base::duration limit = std::chrono::seconds(2);
+    constexpr std::size_t readsPerSecond = 2000; // Of the platform's store.
+    CAPTURE(played.processes);
+    CAPTURE(static_cast<int>(played.copy));
+    CAPTURE(static_cast<int>(played.next));
+    CAPTURE(static_cast<int>(played.hearing));
+    const bool isCut = played.hearing == unheard::Cut;
+    follower_fleet fleet(played.processes, played.firstEra);
+    auto copy = fleet.store.state();
+    fleet.run(milliseconds(100));
+    fleet.write("old");
+    fleet.write("removed later", "t/b");
+    fleet.run(limit);
+    if (played.copy == copied::AfterStart)
+        copy = fleet.store.state();
+    fleet.store.erase("t/b");
+    fleet.store.advanceRevision(50);
+    fleet.write("lost");
+    fleet.write("lost too", "t/c");
+    fleet.run(limit);
+    REQUIRE(countDifferent(fleet) == 0);
+    const std::uint64_t last = fleet.store.state().revision;
+    for (const std::string value : { "first", "second" }) {
+        CAPTURE(value);
+        for (std::size_t i = 0; isCut && i < fleet.processes.size(); i += 3)
+            fleet.processes[i]->view.isCut = true;
+        if (played.hearing == unheard::Silent) {
+            fleet.store.unansweredWatches = played.processes;
+            fleet.write("ends the watches");
+            fleet.run(milliseconds(900));
+        }
+        fleet.store.down = true;
+        fleet.run(milliseconds(500));
+        fleet.store.restore(copy);
+        fleet.run(milliseconds(200)); // The store names its era and refuses calls.
+        const std::size_t reads = fleet.store.reads;
+        const std::size_t snapshots = fleet.store.snapshots;
+        fleet.store.down = false;
+        fleet.write(value, "t/d");
+        if (played.next != next_revision::Below)
+            fleet.store.advanceRevision(last - copy.revision - 1);
+        if (played.next == next_revision::Above)
+            fleet.store.advanceRevision(200);
+        fleet.run(milliseconds(50));
+        fleet.write(value);
+        fleet.run(std::chrono::seconds(1));
+        // A snapshot takes up to three calls.
+        CHECK(fleet.store.reads - reads + 2 * (fleet.store.snapshots - snapshots) <= readsPerSecond);
+        fleet.run(limit - std::chrono::seconds(1));
+        if (!isCut)
+            CHECK(countDifferent(fleet) == 0);
+        for (const auto& one : fleet.processes)
+            one->view.isCut = false;
+        if (isCut)
+            fleet.run(limit);
+        CHECK(countDifferent(fleet) == 0);
+        fleet.run(std::chrono::seconds(1));
+    }
+}
+
+void checkReturnsKnown(int processes)
+{
+    for (const copied copy : { copied::BeforeStart, copied::AfterStart })
+        for (const next_revision next : { next_revision::Below, next_revision::Equal, next_revision::Above })
+            for (const unheard hearing : { unheard::None, unheard::Cut, unheard::Silent })
+                checkReturnKnown({ processes, copy, next, hearing });
+}
+
+} // namespace
+
+TEST_CASE("the whole state is read again when the store returns from an older copy")
+{
+    // Guards against a watch from a revision that exists again, which goes on without an error.
+    checkReturnsKnown(3);
+}
+
+TEST_CASE("the whole state is read again when a store that states no eras replies with a lower revision")
+{
+    // Guards against changes that are dropped until revisions have passed those of the lost history.
+    follower_fleet fleet(1);
+    const auto copy = fleet.store.state();
+    fleet.run(std::chrono::seconds(1));
+    for (int i = 0; i < 20; ++i)
+        fleet.write("lost", "t/" + std::to_string(i));
+    fleet.run(std::chrono::seconds(2));
+    fleet.store.knowsHistory = false;
+    fleet.store.restore(copy);
+    fleet.write("new");
+    fleet.run(std::chrono::seconds(2));
+    CHECK(countDifferent(fleet) == 0);
+}
+
+TEST_CASE("a fleet reads the whole state again when the store returns from an older copy")
+{
+    // Guards against sentinels whose reports are compared with revisions that an earlier era gave out.
+    checkReturnsKnown(48);
+    checkReturnsKnown(370);
+}
+
+TEST_CASE("a watch report of one era neither covers nor hides what another era has")
+{
+    // Guards against a process that has not heard of the new era and trusts, or lacks, a sentinel's word on
+    // it.
+    using std::chrono::milliseconds;
+    using reason = watch_schedule::read_reason;
+    constexpr std::uint64_t most = 8191;
+    struct row {
+        std::uint64_t era, revision, reportedEra, reportedRevision;
+        reason after150, after1100; ///< Whether the process reads, the sentinel reporting all the time.
+    };
+    for (const row& item : { row { 1, 500, 2, 3, reason::Reported, reason::Reported },
+             row { 2, 3, 1, 500, reason::None, reason::Unconfirmed },
+             row { 2, 500, 1, 3, reason::None, reason::Unconfirmed },
+             row { 2, 500, 2, 500, reason::None, reason::None },
+             row { most - 1, (1ULL << 40) - 1, most, 0, reason::Reported, reason::Reported },
+             row { 0, 500, 0, 501, reason::Reported, reason::Reported } }) {
+        CAPTURE(item.era);
+        CAPTURE(item.reportedEra);
+        base::manual_clock clock;
+        clock.advance(std::chrono::seconds(10));
+        watch_schedule schedule(clock, { .process = "p8" });
+        const std::vector<std::string_view> names { "p8", "a", "b", "c", "d", "e", "f", "g" };
+        schedule.setProcesses(names);
+        REQUIRE_FALSE(schedule.isSentinel());
+        schedule.replyReceived(platform::positionOf(item.era, item.revision));
+        const base::time_point began = clock.now();
+        const std::uint64_t reported = platform::positionOf(item.reportedEra, item.reportedRevision);
+        const auto reasonAt = [&](base::duration time) {
+            while (clock.now() < began + time) {
+                const auto report
+                    = decodeWatchReport(encode({ .position = reported, .urgentPosition = reported }));
+                REQUIRE(report);
+                CHECK(report->position == reported);
+                schedule.reportReceived(schedule.sentinels().front(), *report);
+                clock.advance(milliseconds(50));
+            }
+            return schedule.mustRead({ .watchBegan = began,
+                .watchWait = std::chrono::seconds(10),
+                .lastBegan = began,
+                .polls = 0 });
+        };
+        CHECK(reasonAt(milliseconds(200)) == item.after150);
+        CHECK(reasonAt(milliseconds(1150)) == item.after1100);
+    }
+    const auto earlier = decodeWatchReport("\x93\x05\x04\x01"); // Of a version that states no era.
+    CHECK((earlier && earlier->position == 5 && earlier->urgentPosition == 4));
+    CHECK_FALSE(decodeWatchReport(encode({ .position = platform::positionOf(most + 1, 0) })));
+}
