--- a/src/libs/relay/orders/order_lease_holder.cpp
+++ b/src/libs/relay/orders/order_lease_holder.cpp
@@ -67,7 +67,7 @@
     const std::uint64_t before = std::exchange(m_era, m_store.era());
     if (before == m_era)
         return;
-    m_earlierLeasesEnd = m_clock.now() + m_options.timeToLive - m_options.margin;
+    m_earlierLeasesEnd = m_clock.now() + m_options.timeToLive;
     m_observed.reset();
     m_isVacant = false; // Until the state of this era is known.
     if (m_token != 0)
@@ -76,17 +76,27 @@
         forgetLease();
 }
 
+bool order_lease_holder::isKeyStray() const
+{
+    if (!m_observed)
+        return false;
+    if (m_observed->holder == m_options.process)
+        return m_token == 0 && !m_competing;
+    return m_options.renewsLease && m_options.renewsLease(m_observed->lease);
+}
+
 void order_lease_holder::removeStrayKey()
 {
-    if (m_token != 0 || m_competing || m_released || m_isRemoving || !m_observed
-        || m_observed->holder != m_options.process)
+    noteEra();
+    if (m_released || m_isRemoving || !isKeyStray())
         return;
     m_isRemoving = true;
     m_store.remove(m_decoder.orderLeaseKey(), m_observed->createdRevision,
         [this, removed = m_observed->createdRevision](base::result<void> outcome) {
             m_isRemoving = false;
-            const bool isSame = m_observed && m_observed->createdRevision == removed;
-            if (outcome || outcome.error().reason == base::error_reason::Conflict || !isSame)
+            noteEra();
+            const bool isGone = outcome || outcome.error().reason == base::error_reason::Conflict;
+            if (m_observed && m_observed->createdRevision == removed && isGone)
                 return;
             m_timers.runAfter(m_options.retryDelay, [this] { removeStrayKey(); });
         });
@@ -185,6 +195,8 @@
                     .lease = m_storeLease.id() },
         [this, sentAt](base::result<std::uint64_t> revision) {
             noteEra();
+            if (m_released) // The lease has been ended, and the key with it.
+                return;
             if (revision)
                 return acquired(sentAt, *revision, "taken");
             if (m_storeLease.id() == 0)
@@ -198,7 +210,7 @@
             // Another process has it. Its key is a change that the watch tells, as is the end of that key.
             if (failure.reason == base::error_reason::Conflict) {
                 m_competing = false;
-                return;
+                return removeStrayKey();
             }
             if (failure.reason == base::error_reason::NotFound)
                 forgetLease();
@@ -211,7 +223,11 @@
     m_store.get(
         m_decoder.orderLeaseKey(), [this, sentAt](base::result<std::optional<platform::kv_entry>> entry) {
             noteEra();
-            if (m_storeLease.id() != 0 && entry && *entry && (*entry)->value == m_options.process)
+            if (m_released)
+                return;
+            // A key on another lease is that of a write from an earlier era.
+            if (m_storeLease.id() != 0 && entry && *entry && (*entry)->value == m_options.process
+                && (*entry)->lease == m_storeLease.id())
                 return acquired(sentAt, (*entry)->createdRevision, "found");
             // The write may still be carried out.
             competeLater();
@@ -233,21 +249,21 @@
     m_failures = 0;
     m_token = tokenOf(createdRevision);
     m_lease.confirm(sentAt);
-    m_mayOrderFrom = std::max(m_clock.now() + m_options.takeoverDelay, m_earlierLeasesEnd);
+    m_mayOrderFrom = std::max(m_clock.now(), m_earlierLeasesEnd) + m_options.takeoverDelay;
     reportHeld("yes", reason);
     scheduleRenewal();
 }
 
 void order_lease_holder::scheduleRenewal()
 {
-    m_timers.runAfter(m_options.timeToLive / renewalsPerLease, [this] {
-        if (m_token != 0)
-            renew();
-    });
+    m_timers.runAfter(m_options.timeToLive / renewalsPerLease, [this] { renew(); });
 }
 
 void order_lease_holder::renew()
 {
+    noteEra();
+    if (m_token == 0)
+        return;
     const base::time_point sentAt = m_clock.now();
     m_store.keepAlive(m_storeLease.id(), [this, sentAt, token = m_token](base::result<void> renewed) {
         noteEra();
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -126,7 +126,12 @@
     , m_lease(m_store, ports.decoder, loop, time, m_random, log,
           { .process = m_options.process,
               .takeoverDelay
-              = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderTakeoverDelay })
+              = m_options.targetsCheckTokens ? base::duration::zero() : m_options.orderTakeoverDelay,
+              .renewsLease =
+                  [this](std::uint64_t lease) {
+                      return lease != 0
+                          && (lease == m_presence.lease() || lease == m_quarantineExchange.lease());
+                  } })
     , m_rollout(m_targets, m_lease, ports.control, loop, time, log,
           { .process = m_options.process, .changeover = { .versionLimit = m_options.versionLimit } })
     , m_rollouts(m_targets, m_store, ports.decoder, m_lease, loop, time, m_random, log, m_metrics,
@@ -136,6 +141,7 @@
           { .process = m_options.process })
     , m_contextFollower(m_catalog, ports.context, m_contextDistributor, loop, time, {})
     , m_contextReclaimer(m_catalog, m_contextFollower, ports.context, m_lease, m_targets, time, log, {})
+    , m_excluded(time)
     , m_datagrams(loop, [this](const net::endpoint&, std::string_view bytes) { datagramReceived(bytes); })
     , m_paceExchange(m_targets, time, {})
     , m_loadExchange(m_targets, loop, time,
@@ -292,9 +298,12 @@
 void relay_server::runHousekeeping()
 {
     m_targets.removeExpired();
+    if (m_excluded.removeExpired())
+        applyExcluded();
     removeMissingProcesses();
     m_targets.setIsolated(!m_follower.isReachable());
     m_rollouts.setStoreReachable(m_follower.isReachable());
+    m_lease.removeStrayKey();
     m_rollout.step();
     m_contextReclaimer.sweep();
     m_quarantine.removeExpired();
@@ -337,7 +346,7 @@
 
 void relay_server::applyExcluded()
 {
-    const std::vector<std::string> domains(m_excluded.begin(), m_excluded.end());
+    const std::vector<std::string> domains = m_excluded.list();
     m_targets.setExcludedDomains(domains);
     std::string list;
     for (const std::string& domain : domains)
