--- a/src/libs/relay/relay_server_state.cpp
+++ b/src/libs/relay/relay_server_state.cpp
@@ -100,9 +100,11 @@
 void relay_server::removed(const state_item& item)
 {
     if (const auto* target = std::get_if<target_registration>(&item)) {
-        m_log.write(events::targetChanged, { { "target", target->id }, { "change", "left" } });
-        m_targets.remove(target->id);
-        m_targetEnds.targetRemoved(target->id);
+        const bool isRemoved = m_targets.unregister(target->id);
+        m_log.write(events::targetChanged,
+            { { "target", target->id }, { "change", isRemoved ? "left" : "missing" } });
+        if (isRemoved)
+            m_targetEnds.targetRemoved(target->id);
     } else if (const auto* excluded = std::get_if<excluded_domain>(&item)) {
         m_excluded.remove(excluded->failureDomain);
         applyExcluded();
--- a/src/libs/relay/targets/target_registry.cpp
+++ b/src/libs/relay/targets/target_registry.cpp
@@ -145,14 +145,25 @@
     countTarget(target->registration.service, -1);
 }
 
+bool target_registry::unregister(std::string_view id)
+{
+    if (m_clock.now() - m_options.missingGrace < m_lostChangesAt) {
+        m_missing.emplace(id, m_lostChangesAt);
+        return false;
+    }
+    remove(id);
+    return true;
+}
+
 void target_registry::retainTargets(const std::vector<std::string>& present, bool hasLostChanges)
 {
+    if (hasLostChanges)
+        m_lostChangesAt = m_clock.now();
     for (const auto& [id, target] : m_targets) {
         if (std::ranges::find(present, id) != present.end())
             continue;
         const auto known = m_missing.emplace(id, m_clock.now()).first;
-        if (hasLostChanges)
-            known->second = m_clock.now();
+        known->second = std::max(known->second, m_lostChangesAt);
     }
 }
 
--- a/src/libs/relay/targets/target_registry.h
+++ b/src/libs/relay/targets/target_registry.h
@@ -114,6 +114,10 @@
     void put(const target_registration& registration);
     void remove(std::string_view id);
 
+    /// Removes the target \a id, whose registration has ended. If the platform's store has lost changes
+    /// shortly before, it is kept until the grace period of that ends. Returns whether it was removed.
+    bool unregister(std::string_view id);
+
     /// Removes the targets whose ids are not in \a present after the grace period. It begins anew if the
     /// platform's store \a hasLostChanges.
     void retainTargets(const std::vector<std::string>& present, bool hasLostChanges = false);
@@ -371,6 +375,7 @@
     std::map<std::string, double, std::less<>> m_meanTokens; ///< Mean tokens of a request, by service.
     std::map<std::string, double, std::less<>> m_meanPrefillTokens; ///< To be computed, by service.
     std::map<std::string, base::time_point, std::less<>> m_missing;
+    base::time_point m_lostChangesAt = base::time_point::min(); ///< When the store last had lost changes.
     load_observer m_observer;
     target_standing m_standing;
     notice_observer m_noticeObserver;
--- a/tests/libs/relay/placement/placement_test.cpp
+++ b/tests/libs/relay/placement/placement_test.cpp
@@ -250,9 +250,10 @@
         f.clock.advance(std::chrono::milliseconds(1500));
         f.targets.removeExpired();
         CHECK(f.targets.targets().size() == (hasLostChanges ? 2 : 1));
+        CHECK(f.targets.unregister("t0") != hasLostChanges);
         f.clock.advance(std::chrono::milliseconds(900));
         f.targets.removeExpired();
-        CHECK(f.targets.targets().size() == 1);
+        CHECK(f.targets.targets().size() == 0);
     }
 }
 
