--- a/src/libs/relay/admission/part_quarantine.cpp
+++ b/src/libs/relay/admission/part_quarantine.cpp
@@ -47,12 +47,12 @@
         record = std::prev(m_ends.end());
     }
     const auto isSame = [&](const target_end& known) {
-        return known.parts == end.parts && known.answerBegun == end.answerBegun;
+        return known.parts == end.parts && known.answerBegun == end.answerBegun
+            && answerStage(known.events) == answerStage(end.events);
     };
-    if (record->requests.size() >= maxRequestsPerEnd || std::ranges::any_of(record->requests, isSame))
+    if (std::ranges::any_of(record->requests, isSame))
         return;
-    record->requests.push_back(end);
-    record->answerBegun = record->answerBegun || end.answerBegun;
+    addRequest(*record, end);
     for (const std::string& part : end.parts) {
         suspect& item = m_suspects[part];
         const bool reportedSound = contains(end.soundParts, part);
@@ -64,6 +64,24 @@
     recompute();
 }
 
+int part_quarantine::rankOf(const target_end& request)
+{
+    return request.answerBegun ? answerStage(request.events) : wholeAnswerStage;
+}
+
+void part_quarantine::addRequest(end_record& end, const target_end& request)
+{
+    end.answerBegun = end.answerBegun || request.answerBegun;
+    if (end.requests.size() < maxRequestsPerEnd) {
+        end.requests.push_back(request);
+        return;
+    }
+    // Many streams may have run at the target; the one whose answer began last must not be crowded out.
+    const auto last = std::ranges::max_element(end.requests, {}, rankOf);
+    if (rankOf(request) < rankOf(*last))
+        *last = request;
+}
+
 bool part_quarantine::wasAnswered(std::string_view part) const
 {
     const auto found = m_answered.find(base::hash64(part));
@@ -92,10 +110,12 @@
         const bool blocked = m_blocks.contains(part);
         if (found == m_suspects.end() && !blocked)
             continue;
+        if (!blocked && found->second.mentions == 0)
+            continue;
         const evidence_list evidence = evidenceAgainst(part);
         // A part that all processes know to be sound is answered at many of them; one end less than required
         // is no danger.
-        const bool isPending = blocked || weightOf(part, evidence) >= requiredWeight(part) - 1;
+        const bool isPending = blocked || weightOf(part, evidence) >= requiredWeight(part, evidence) - 1;
         if (evidence.empty() && !blocked)
             continue;
         clear(part, "answered");
@@ -107,8 +127,52 @@
         recompute();
 }
 
+void part_quarantine::stageReached(std::span<const std::string> parts, int stage)
+{
+    if (m_suspects.empty())
+        return;
+    bool isRefuted = false;
+    for (const std::string& part : parts) {
+        const auto found = m_suspects.find(part);
+        if (found == m_suspects.end() || found->second.mentions == 0)
+            continue;
+        const evidence_list evidence = evidenceAgainst(part);
+        const bool isPending
+            = m_blocks.contains(part) || weightOf(part, evidence) >= requiredWeight(part, evidence) - 1;
+        if (evidence.empty() || !refute(part, stage))
+            continue;
+        isRefuted = true;
+        if (isPending && m_calls.sound)
+            m_calls.sound({ .part = part, .refutes = true, .stage = stage });
+    }
+    if (isRefuted)
+        recompute();
+}
+
+bool part_quarantine::refute(std::string_view part, int stage)
+{
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end())
+        return false;
+    const std::size_t before = evidenceAgainst(part).size();
+    found->second.reachedAt.at(static_cast<std::size_t>(stage)) = m_clock.now();
+    const evidence_list left = evidenceAgainst(part);
+    if (left.size() == before)
+        return false;
+    const auto block = m_blocks.find(part);
+    if (block != m_blocks.end() && !block->second.byOperator
+        && weightOf(part, left) < requiredWeight(part, left))
+        removeBlock(part, "answer goes on");
+    return true;
+}
+
 void part_quarantine::soundReported(const sound_part& report)
 {
+    if (report.stage < wholeAnswerStage) {
+        if (refute(report.part, report.stage))
+            recompute();
+        return;
+    }
     rememberAnswer(report.part);
     if (report.refutes) {
         clear(report.part, "answered elsewhere");
@@ -127,9 +191,17 @@
     const auto item = m_suspects.find(block.part);
     if (item == m_suspects.end() || block.targets.empty())
         return false;
+    const suspect& against = item->second;
     return std::ranges::all_of(block.targets, [&](const std::string& target) {
         const auto end = std::ranges::find(m_ends, target, &end_record::target);
-        return end != m_ends.end() && end->at <= item->second.clearedAt;
+        if (end == m_ends.end())
+            return false;
+        // The end may be known here from requests without the part only.
+        const auto refutes = [&](const target_end& request) {
+            return contains(request.parts, block.part)
+                && isRefuted({ .end = &*end, .request = &request }, against);
+        };
+        return end->at <= against.clearedAt || std::ranges::any_of(end->requests, refutes);
     });
 }
 
@@ -142,7 +214,8 @@
             m_ends.erase(m_ends.begin());
         m_ends.push_back({ .target = target,
             .at = m_clock.now(),
-            .requests = { { .target = target, .parts = block.with, .answerBegun = true } },
+            .requests
+            = { { .target = target, .parts = block.with, .answerBegun = true, .events = unknownEvents } },
             .answerBegun = true });
         for (const std::string& part : block.with) {
             suspect& item = m_suspects[part];
--- a/src/libs/relay/admission/part_quarantine.h
+++ b/src/libs/relay/admission/part_quarantine.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "answer_stage.h"
+
 #include <base/base.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,14 +22,15 @@
 /// names with others; \a isolatedTeam is empty for all other teams.
 std::string scopedPartName(std::string_view model, std::string_view isolatedTeam, std::string_view part);
 
-/// Evidence of one request against the shared parts of its prompt: its target ended before the request had
-/// one whole event of its answer.
+/// Evidence of one request against the shared parts of its prompt: its target ended before the answer was
+/// whole.
 struct target_end {
     std::string target; ///< Incarnation of the target.
     std::vector<std::string> parts = {}; ///< Names of the shared parts, in order.
     /// Those of `parts` with which a request was answered shortly before, as far as the reporter knows.
     std::vector<std::string> soundParts = {};
     bool answerBegun = false; ///< The head of the answer had been received.
+    int events = 0; ///< Whole events of the answer that had been received.
 };
 
 /// A part with which no request is sent to a target.
@@ -35,7 +39,7 @@
     /// Parts that every request under which targets ended has in common, with \a part. Only requests with all
     /// of them are refused.
     std::vector<std::string> with = {};
-    int ends = 0; ///< Targets that ended.
+    int ends = 0; ///< Targets that ended, by the weight of the evidence.
     std::vector<std::string> targets = {}; ///< Incarnations of some of them, the last ones.
 };
 
@@ -51,24 +55,36 @@
     /// The answer came after the evidence against the part, which is thereby refuted. Otherwise, more
     /// evidence is required.
     bool refutes = false;
+    /// How far the answer has come; it refutes the evidence of answers that had not come as far.
+    int stage = wholeAnswerStage;
 };
 
 /// Decides which parts of prompts end the targets that begin to answer them, from the ends that all processes
 /// have seen.
 ///
 /// A part is blocked if targets ended under it repeatedly and no request with it was answered in between. An
-/// end is evidence against all shared parts of the request, so that three rules protect sound ones: an answer
-/// clears every part of its prompt; of parts that were answered shortly before, more ends are required,
-/// spread over some time, since many targets may end at once for another reason; and an end that a blocked
-/// part explains is no evidence against others. A request is refused only if it has all parts that the
-/// evidence against the blocked part has in common.
+/// end is evidence against all shared parts of the request, so that four rules protect sound ones: an answer
+/// clears every part of its prompt, and one that goes on refutes the ends of answers that had not come as
+/// far; of parts that were answered shortly before, more ends are required, spread over some time, since many
+/// targets may end at once for another reason; an end in the middle of a stream counts less, and nothing
+/// against such parts; and an end that a blocked part explains is no evidence against others. A request is
+/// refused only if it has all parts that the evidence against the blocked part has in common. See
+/// docs/design/quarantine.md.
 class part_quarantine {
 public:
     struct options {
         /// Weight of an end under a request whose answer had not begun: it may have waited at the target.
         double unbegunWeight = 0.5;
+        /// The same if the answer was past its beginning: the end may have cut a stream that ran there.
+        double runningWeight = 0.5;
         /// Weight of the ends that block a part.
         double blockWeight = 2;
+        /// The same while targets end for other reasons as well: by chance, a part that few requests have is
+        /// at two of them.
+        double noisyBlockWeight = 3;
+        /// Other ends within `noiseTime` from which that holds.
+        std::size_t noisyEnds = 10;
+        base::duration noiseTime = std::chrono::seconds(20);
         /// The same for a part with which a request was answered within `soundTime` before.
         double soundBlockWeight = 4;
         /// Ends within this time of each other count once.
@@ -106,6 +122,9 @@
     /// Records that a request of this process with \a parts was answered.
     void answered(std::span<const std::string> parts);
 
+    /// Records that an answer of this process to a request with \a parts has reached \a stage, and goes on.
+    void stageReached(std::span<const std::string> parts, int stage);
+
     /// Records that another process answered a request.
     void soundReported(const sound_part& report);
 
@@ -149,6 +168,9 @@
     std::size_t evidence() const { return m_ends.size(); }
 
 private:
+    /// Events of an answer that is known from a block only; a whole answer alone refutes its evidence.
+    static constexpr int unknownEvents = -1;
+
     /// The evidence of one ended target.
     struct end_record {
         std::string target;
@@ -159,6 +181,8 @@
     struct suspect {
         bool sound = false; ///< Was answered shortly before the evidence.
         base::time_point clearedAt = base::time_point::min(); ///< Evidence up to then is refuted.
+        /// By stage: when an answer last reached it, which refutes the evidence of lower stages up to then.
+        std::array<base::time_point, wholeAnswerStage> reachedAt = neverReached();
         int mentions = 0; ///< At least the number of targets that ended under it since.
     };
     struct block_record {
@@ -172,8 +196,17 @@
         int count = 0;
         base::time_point probationUntil {};
     };
-    using evidence_list = std::vector<const end_record*>;
-    using evidence_index = std::unordered_map<std::string_view, evidence_list>; ///< By part; oldest first.
+    /// A request at an ended target that had the part in question.
+    struct mention {
+        const end_record* end;
+        const target_end* request;
+    };
+    struct accusation {
+        const end_record* end;
+        double weight;
+    };
+    using evidence_list = std::vector<accusation>; ///< Oldest first.
+    using evidence_index = std::unordered_map<std::string_view, evidence_list>; ///< By part.
     /// A part with enough evidence for a block.
     struct accused_part {
         std::string part;
@@ -182,19 +215,34 @@
         double required = 0;
     };
 
+    static constexpr std::array<base::time_point, wholeAnswerStage> neverReached()
+    {
+        std::array<base::time_point, wholeAnswerStage> times;
+        times.fill(base::time_point::min());
+        return times;
+    }
     static bool contains(std::span<const std::string> parts, std::string_view part);
-    bool accuses(const end_record& end, const target_end& request, std::string_view part) const;
+    static int rankOf(const target_end& request);
+    void addRequest(end_record& end, const target_end& request);
+    /// Returns the weight of \a item against a part; 0 if it is no evidence, or refuted.
+    double weightOf(const mention& item, const suspect& against) const;
+    static bool isRefuted(const mention& item, const suspect& against);
+    const suspect& suspectOf(std::string_view part) const;
+    evidence_list evidenceOf(std::string_view part, std::span<const mention> mentions) const;
     evidence_index indexEvidence() const;
     evidence_list evidenceAgainst(std::string_view part) const;
     std::vector<accused_part> accusedParts(const evidence_index& index) const;
     double weightOf(std::string_view part, const evidence_list& evidence) const;
-    double requiredWeight(std::string_view part) const;
+    double requiredWeight(std::string_view part, const evidence_list& evidence) const;
+    std::size_t recentEnds() const;
     std::vector<std::string> commonParts(std::string_view part, const evidence_list& evidence) const;
     bool wasAnswered(std::string_view part) const;
     void rememberAnswer(std::string_view part);
     bool isRefuted(const blocked_part& block) const;
     void addEvidence(const blocked_part& block);
     void clear(std::string_view part, std::string_view reason);
+    /// Refutes the evidence of stages below \a stage. Returns true if there was any, or a block.
+    bool refute(std::string_view part, int stage);
     void recompute();
     blocked_part blockFor(std::string_view part, const evidence_list& evidence) const;
     void addBlock(const blocked_part& block, bool byOperator);
--- a/src/libs/relay/admission/part_quarantine_evidence.cpp
+++ b/src/libs/relay/admission/part_quarantine_evidence.cpp
@@ -11,72 +11,112 @@
 
 } // namespace
 
-bool part_quarantine::accuses(const end_record& end, const target_end& request, std::string_view part) const
+bool part_quarantine::isRefuted(const mention& item, const suspect& against)
 {
+    const base::time_point at = item.end->at;
+    if (at <= against.clearedAt)
+        return true;
+    if (item.request->events == unknownEvents)
+        return false;
+    const auto higher = std::span(against.reachedAt)
+                            .subspan(static_cast<std::size_t>(answerStage(item.request->events)) + 1);
+    return std::ranges::any_of(higher, [at](base::time_point reached) { return at <= reached; });
+}
+
+double part_quarantine::weightOf(const mention& item, const suspect& against) const
+{
+    const target_end& request = *item.request;
     // A request that waited did not end a target that had begun to answer another one.
-    return (request.answerBegun || !end.answerBegun) && contains(request.parts, part);
+    if (isRefuted(item, against) || (!request.answerBegun && item.end->answerBegun))
+        return 0;
+    if (!request.answerBegun)
+        return m_options.unbegunWeight;
+    if (answerStage(request.events) == 0)
+        return 1;
+    return against.sound ? 0 : m_options.runningWeight;
+}
+
+const part_quarantine::suspect& part_quarantine::suspectOf(std::string_view part) const
+{
+    static const suspect unknown;
+    const auto found = m_suspects.find(part);
+    return found == m_suspects.end() ? unknown : found->second;
+}
+
+part_quarantine::evidence_list part_quarantine::evidenceOf(
+    std::string_view part, std::span<const mention> mentions) const
+{
+    const suspect& against = suspectOf(part);
+    evidence_list evidence;
+    for (const mention& item : mentions) {
+        const double weight = weightOf(item, against);
+        if (weight <= 0)
+            continue;
+        if (evidence.empty() || evidence.back().end != item.end)
+            evidence.push_back({ .end = item.end, .weight = weight });
+        else
+            evidence.back().weight = std::max(evidence.back().weight, weight);
+    }
+    return evidence;
 }
 
 part_quarantine::evidence_index part_quarantine::indexEvidence() const
 {
-    evidence_index index;
+    std::unordered_map<std::string_view, std::vector<mention>> mentions;
     for (const end_record& end : m_ends)
-        for (const target_end& request : end.requests) {
-            if (!request.answerBegun && end.answerBegun)
-                continue;
-            for (const std::string& part : request.parts) {
-                evidence_list& evidence = index[part];
-                if (evidence.empty() || evidence.back() != &end)
-                    evidence.push_back(&end);
-            }
-        }
-    for (auto& [part, evidence] : index)
-        if (const auto item = m_suspects.find(part); item != m_suspects.end())
-            std::erase_if(evidence, [&](const end_record* end) { return end->at <= item->second.clearedAt; });
+        for (const target_end& request : end.requests)
+            for (const std::string& part : request.parts)
+                mentions[part].push_back({ .end = &end, .request = &request });
+    evidence_index index;
+    for (const auto& [part, items] : mentions)
+        index.emplace(part, evidenceOf(part, items));
     return index;
 }
 
 part_quarantine::evidence_list part_quarantine::evidenceAgainst(std::string_view part) const
 {
-    const auto item = m_suspects.find(part);
-    const base::time_point clearedAt
-        = item == m_suspects.end() ? base::time_point::min() : item->second.clearedAt;
-    evidence_list evidence;
+    std::vector<mention> mentions;
     for (const end_record& end : m_ends)
-        if (end.at > clearedAt && std::ranges::any_of(end.requests, [&](const target_end& request) {
-                return accuses(end, request, part);
-            }))
-            evidence.push_back(&end);
-    return evidence;
+        for (const target_end& request : end.requests)
+            if (contains(request.parts, part))
+                mentions.push_back({ .end = &end, .request = &request });
+    return evidenceOf(part, mentions);
 }
 
 double part_quarantine::weightOf(std::string_view part, const evidence_list& evidence) const
 {
-    const auto item = m_suspects.find(part);
-    const bool sound = item != m_suspects.end() && item->second.sound;
-    const base::duration separation = sound ? m_options.soundSeparation : m_options.separation;
+    const base::duration separation
+        = suspectOf(part).sound ? m_options.soundSeparation : m_options.separation;
     double weight = 0;
     double clusterWeight = 0;
     base::time_point clusterBegin = base::time_point::min();
-    for (const end_record* end : evidence) {
-        if (clusterBegin == base::time_point::min() || end->at - clusterBegin >= separation) {
+    for (const accusation& item : evidence) {
+        if (clusterBegin == base::time_point::min() || item.end->at - clusterBegin >= separation) {
             weight += clusterWeight;
             clusterWeight = 0;
-            clusterBegin = end->at;
+            clusterBegin = item.end->at;
         }
-        clusterWeight = std::max(clusterWeight, end->answerBegun ? 1.0 : m_options.unbegunWeight);
+        clusterWeight = std::max(clusterWeight, item.weight);
     }
     return weight + clusterWeight;
 }
 
-double part_quarantine::requiredWeight(std::string_view part) const
+std::size_t part_quarantine::recentEnds() const
+{
+    const auto first
+        = std::ranges::lower_bound(m_ends, m_clock.now() - m_options.noiseTime, {}, &end_record::at);
+    return static_cast<std::size_t>(std::distance(first, m_ends.end()));
+}
+
+double part_quarantine::requiredWeight(std::string_view part, const evidence_list& evidence) const
 {
     const auto convicted = m_convictions.find(part);
     if (convicted != m_convictions.end() && m_clock.now() < convicted->second.probationUntil)
         return 1;
-    const auto item = m_suspects.find(part);
-    return item != m_suspects.end() && item->second.sound ? m_options.soundBlockWeight
-                                                          : m_options.blockWeight;
+    if (suspectOf(part).sound)
+        return m_options.soundBlockWeight;
+    const bool isNoisy = recentEnds() >= evidence.size() + m_options.noisyEnds;
+    return isNoisy ? m_options.noisyBlockWeight : m_options.blockWeight;
 }
 
 std::vector<std::string> part_quarantine::commonParts(
@@ -84,10 +124,12 @@
 {
     std::vector<std::string> common;
     bool isFirst = true;
-    for (const end_record* end : evidence) {
+    const suspect& against = suspectOf(part);
+    for (const accusation& item : evidence) {
         std::vector<std::string> accused;
-        for (const target_end& request : end->requests)
-            if (accuses(*end, request, part))
+        for (const target_end& request : item.end->requests)
+            if (contains(request.parts, part)
+                && weightOf({ .end = item.end, .request = &request }, against) > 0)
                 accused.insert(accused.end(), request.parts.begin(), request.parts.end());
         if (std::exchange(isFirst, false))
             common = accused;
@@ -108,9 +150,11 @@
 {
     std::vector<accused_part> accused;
     for (const auto& [part, item] : m_suspects) {
-        const double required = requiredWeight(part);
         const auto found = index.find(part);
-        if (item.mentions < required || found == index.end())
+        if (found == index.end())
+            continue;
+        const double required = requiredWeight(part, found->second);
+        if (item.mentions < required)
             continue;
         const double weight = weightOf(part, found->second);
         if (weight >= required)
@@ -125,11 +169,12 @@
     const evidence_index index = indexEvidence();
     std::vector<accused_part> accused = accusedParts(index);
     std::set<const end_record*> explained;
-    const auto isExplained = [&](const end_record* end) { return explained.contains(end); };
+    const auto isExplained = [&](const accusation& item) { return explained.contains(item.end); };
     std::vector<blocked_part> found;
     while (!accused.empty()) {
         const auto worst = std::ranges::max_element(accused, {}, &accused_part::weight);
-        explained.insert(worst->evidence.begin(), worst->evidence.end());
+        for (const accusation& item : worst->evidence)
+            explained.insert(item.end);
         found.push_back(blockFor(worst->part, worst->evidence));
         accused.erase(worst);
         for (accused_part& other : accused)
@@ -157,10 +202,10 @@
     std::vector<std::string> targets;
     const std::size_t first = evidence.size() - std::min(evidence.size(), maxTargetsPerBlock);
     for (std::size_t i = first; i < evidence.size(); ++i)
-        targets.push_back(evidence[i]->target);
+        targets.push_back(evidence[i].end->target);
     return { .part = std::string(part),
         .with = commonParts(part, evidence),
-        .ends = static_cast<int>(evidence.size()),
+        .ends = static_cast<int>(weightOf(part, evidence)),
         .targets = targets };
 }
 
--- a/src/libs/relay/events.h
+++ b/src/libs/relay/events.h
@@ -14,7 +14,8 @@
       "attempts, target (of the last send), age_ms, placed_ms (arrival to last send), expected_ms (to the "
       "first token, at that send), first_ms, pause_ms (longest between two chunks of the answer), "
       "prompt_tokens, shared_tokens, kept_tokens, scope, part, parts (all shared ones), "
-      "answer (none, begun or event: what was received of the last one), answer_status (of that answer), "
+      "answer (none, begun or event: what was received of the last one), events (whole ones of it), "
+      "answer_status (of that answer), "
       "caller_status (of the head that the caller got while the answer was forwarded, 0 if none), framing "
       "(of "
       "the last answer: none, length, chunked, until_close), config, reason.",
@@ -24,7 +25,8 @@
     .level = base::log_level::Info,
     .name = "relay_attempt_failed",
     .meaning = "An attempt at a target failed; fields: request, target, verdict, reason, "
-               "answer (none, begun or event: what was received of it), framing (of that answer), "
+               "answer (none, begun or event: what was received of it), events (whole ones of it), "
+               "framing (of that answer), "
                "retry, age_ms.",
     .action = "" };
 
@@ -129,10 +131,9 @@
 inline constexpr base::event_definition targetEnded { .id = "MB-2017",
     .level = base::log_level::Warning,
     .name = "relay_target_ended",
-    .meaning
-    = "A target ended while requests of this process ran at it; fields: target, requests (those that "
-      "were lost before one event of their answer, at most four), begun (how many of them had the "
-      "head of an answer), parts (the shared parts of the first).",
+    .meaning = "A target ended while requests of this process ran at it; fields: target, requests (those "
+               "whose answers were cut, at most four), begun (how many of them had the head of an answer), "
+               "events (of the answer that began last), parts (its shared parts).",
     .action = "If the same part is named again and again, see OPERATIONS.md, Parts that end targets." };
 
 inline constexpr base::event_definition partBlocked { .id = "MB-2018",
--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -53,6 +53,9 @@
 {
     target_end reported = end;
     reported.soundParts = m_parts.answeredHere(end.parts);
+    // No evidence against any of its parts; a target that ends cuts many such streams.
+    if (answerStage(end.events) > 0 && reported.soundParts.size() == end.parts.size())
+        return;
     publish(reported);
     m_isOwnEvidence = true;
     m_parts.targetEnded(reported);
@@ -86,7 +89,9 @@
 {
     const auto known = m_pendingSounds.find(report.part);
     if (known != m_pendingSounds.end()) {
-        known->second.report.refutes = known->second.report.refutes || report.refutes;
+        sound_part& pending = known->second.report;
+        pending.refutes = pending.refutes || report.refutes;
+        pending.stage = std::max(pending.stage, report.stage);
         return;
     }
     const auto factor = static_cast<base::duration::rep>(1 + m_peers.size() / m_options.peersPerSoundDelay);
@@ -100,10 +105,10 @@
     m_pendingSounds.emplace(report.part, pending_sound { .report = report, .timer = timer });
 }
 
-void quarantine_exchange::cancelSound(std::string_view part)
+void quarantine_exchange::cancelSound(const sound_part& heard)
 {
-    const auto found = m_pendingSounds.find(part);
-    if (found == m_pendingSounds.end())
+    const auto found = m_pendingSounds.find(heard.part);
+    if (found == m_pendingSounds.end() || found->second.report.stage > heard.stage)
         return;
     m_timers.cancel(found->second.timer);
     m_pendingSounds.erase(found);
@@ -272,7 +277,7 @@
     } else if (const auto* block = std::get_if<blocked_part>(&record)) {
         m_parts.blockReported(*block);
     } else if (const auto* sound = std::get_if<sound_part>(&record)) {
-        cancelSound(sound->part);
+        cancelSound(*sound);
         m_parts.soundReported(*sound);
     } else if (const auto* trial = std::get_if<trial_start>(&record)) {
         m_parts.trialStarted(*trial);
--- a/src/libs/relay/exchange/quarantine_exchange.h
+++ b/src/libs/relay/exchange/quarantine_exchange.h
@@ -115,7 +115,8 @@
     void writeRecords();
     void writeFailed(const base::error& failure);
     void rememberTrial(const trial_start& trial);
-    void cancelSound(std::string_view part);
+    /// Takes back an own report that says no more than \a heard.
+    void cancelSound(const sound_part& heard);
     base::duration randomDelay(base::duration shortest, base::duration longest);
 
     part_quarantine& m_parts;
--- a/src/libs/relay/exchange/quarantine_record.cpp
+++ b/src/libs/relay/exchange/quarantine_record.cpp
@@ -20,7 +20,7 @@
     json operator()(const target_end& end) const
     {
         return { { "target", end.target }, { "parts", end.parts }, { "sound", end.soundParts },
-            { "begun", end.answerBegun } };
+            { "begun", end.answerBegun }, { "events", end.events } };
     }
     json operator()(const blocked_part& block) const
     {
@@ -33,7 +33,7 @@
     }
     json operator()(const sound_part& part) const
     {
-        return { { "answered", part.part }, { "refutes", part.refutes } };
+        return { { "answered", part.part }, { "refutes", part.refutes }, { "stage", part.stage } };
     }
 };
 
@@ -65,13 +65,21 @@
     return names;
 }
 
+/// Returns the member \a name, a count up to \a limit; \a absent if a process of an earlier version or an
+/// operator has left it out.
+int optionalOf(const json& value, const char* name, int absent, int limit)
+{
+    return value.contains(name) ? integerOf(value.at(name), 0, limit) : absent;
+}
+
 quarantine_record recordOf(const json& value)
 {
     if (value.contains("begun"))
         return target_end { .target = nameOf(value.at("target")),
             .parts = namesOf(value.at("parts")),
             .soundParts = namesOf(value.at("sound")),
-            .answerBegun = value.at("begun") };
+            .answerBegun = value.at("begun"),
+            .events = optionalOf(value, "events", 0, maxCount) };
     if (value.contains("blocked"))
         return blocked_part { .part = nameOf(value.at("blocked")),
             .with = namesOf(value.at("with")),
@@ -80,7 +88,9 @@
     if (value.contains("tried"))
         return trial_start { .part = nameOf(value.at("tried")),
             .number = integerOf(value.at("number"), 0, maxCount) };
-    return sound_part { .part = nameOf(value.at("answered")), .refutes = value.at("refutes") };
+    return sound_part { .part = nameOf(value.at("answered")),
+        .refutes = value.at("refutes"),
+        .stage = optionalOf(value, "stage", wholeAnswerStage, wholeAnswerStage) };
 }
 
 quarantine_batch batchOf(const json& value)
--- a/src/libs/relay/message/event_scanner.cpp
+++ b/src/libs/relay/message/event_scanner.cpp
@@ -59,7 +59,7 @@
 void event_boundary::endLine()
 {
     if (m_atLineStart) {
-        m_hasEvent = m_hasEvent || m_hasField;
+        m_events += m_hasField ? 1 : 0;
         m_hasField = false;
     }
     m_atLineStart = true;
--- a/src/libs/relay/message/event_scanner.h
+++ b/src/libs/relay/message/event_scanner.h
@@ -25,12 +25,15 @@
     bool insideEvent() const { return m_hasField || !m_atLineStart; }
 
     /// Returns true if at least one event is complete.
-    bool hasEvent() const { return m_hasEvent; }
+    bool hasEvent() const { return m_events > 0; }
+
+    /// Returns the number of complete events.
+    int events() const { return m_events; }
 
 private:
     void endLine();
 
-    bool m_hasEvent = false;
+    int m_events = 0;
     bool m_hasField = false; ///< A line of the current event that is no comment has begun.
     bool m_atLineStart = true;
     std::size_t m_statusLineBytes = 0; ///< Of the current line that begin a status line; 0 if others do not.
--- a/src/libs/relay/relay_server.cpp
+++ b/src/libs/relay/relay_server.cpp
@@ -401,14 +401,15 @@
     const auto begun = std::ranges::count_if(requests, &lost_request::answerBegun);
     m_log.write(events::targetEnded,
         { { "target", target.id }, { "requests", std::to_string(requests.size()) },
-            { "begun", std::to_string(begun) },
+            { "begun", std::to_string(begun) }, { "events", std::to_string(requests.front().events) },
             { "parts", fmt::format("{}", fmt::join(requests.front().sharedParts, ",")) } });
     // One that waited is no evidence beside one that the target had begun to answer.
     for (const lost_request& request : requests)
         if (request.answerBegun || begun == 0)
             m_quarantineExchange.targetEnded({ .target = std::string(incarnation),
                 .parts = request.sharedParts,
-                .answerBegun = request.answerBegun });
+                .answerBegun = request.answerBegun,
+                .events = request.events });
 }
 
 void relay_server::partBlocked(const blocked_part& block)
--- a/src/libs/relay/session/attempt_state.h
+++ b/src/libs/relay/session/attempt_state.h
@@ -62,6 +62,7 @@
     message_head m_answerHead;
     std::string m_collected;
     event_boundary m_boundary; ///< Of the stream of the last answer.
+    int m_stage = 0; ///< That the last answer has reached.
     bool m_isEventStream = false; ///< The last answer is a stream of server-sent events.
     bool m_answerBegun = false; ///< The head of the last answer was received.
 };
--- a/src/libs/relay/session/relay_session.cpp
+++ b/src/libs/relay/session/relay_session.cpp
@@ -410,7 +410,7 @@
             { "kept_tokens", std::to_string(m_context.cachedTokens) }, { "scope", m_scope },
             { "part", m_request.parts.size() > 1 ? m_request.parts[m_request.parts.size() - 2].id : "" },
             { "parts", fmt::format("{}", fmt::join(m_sharedParts, ",")) },
-            { "answer", std::string(answerProgress()) },
+            { "answer", std::string(answerProgress()) }, { "events", std::to_string(answerEvents()) },
             { "answer_status", std::to_string(m_answerBegun ? m_answerHead.status : 0) },
             { "caller_status", std::to_string(m_callerStatus.value_or(0)) },
             { "framing", std::string(answerFraming()) },
--- a/src/libs/relay/session/relay_session.h
+++ b/src/libs/relay/session/relay_session.h
@@ -116,6 +116,10 @@
     bool refuseBlocked();
     bool claimTrial(const blocked_part& block);
     void reportAnswered();
+    void reportStage();
+    bool isSuccess() const;
+    /// Returns the number of whole events of the last answer; 0 if it is no stream of events.
+    int answerEvents() const { return m_isEventStream ? m_boundary.events() : 0; }
     void endChecked(target_presence found);
     void completeAnswer();
     void abandonAttempt();
--- a/src/libs/relay/session/relay_session_answer.cpp
+++ b/src/libs/relay/session/relay_session_answer.cpp
@@ -152,6 +152,7 @@
     case answer_state::Forwarding:
         if (!m_isEventStream || m_boundary.hasEvent())
             cancelHedge();
+        reportStage();
         if (m_route->mayResume() && m_isEventStream) {
             const std::string events = m_events.feed(chunk);
             if (m_events.beganAnew())
@@ -317,16 +318,35 @@
 
 void relay_session::reportLost()
 {
-    if (!m_sharedParts.empty() && !m_boundary.hasEvent())
+    // The planned end of a target cuts the streams that run there.
+    const bool isPlanned = m_target->leaving || (m_target->removed && answerStage(answerEvents()) > 0);
+    if (!m_sharedParts.empty() && !isPlanned && m_answer != answer_state::Refused)
         m_services.targetEnds.requestLost(m_target->registration,
-            { .id = m_request.attemptId, .sharedParts = m_sharedParts, .answerBegun = m_answerBegun });
+            { .id = m_request.attemptId,
+                .sharedParts = m_sharedParts,
+                .answerBegun = m_answerBegun,
+                .events = answerEvents() });
+}
+
+bool relay_session::isSuccess() const
+{
+    return m_answerHead.status >= http_status::ok && m_answerHead.status < http_status::multipleChoices;
+}
+
+void relay_session::reportStage()
+{
+    const int stage = answerStage(answerEvents());
+    if (stage <= m_stage)
+        return;
+    m_stage = stage;
+    if (!m_sharedParts.empty() && isSuccess())
+        m_services.quarantine.stageReached(m_sharedParts, stage);
 }
 
 void relay_session::reportAnswered()
 {
-    const bool success
-        = m_answerHead.status >= http_status::ok && m_answerHead.status < http_status::multipleChoices;
-    if (success && !m_sharedParts.empty() && (m_route->kind != request_kind::Stream || m_boundary.hasEvent()))
+    if (isSuccess() && !m_sharedParts.empty()
+        && (m_route->kind != request_kind::Stream || m_boundary.hasEvent()))
         m_services.quarantine.answered(m_sharedParts);
 }
 
@@ -359,8 +379,9 @@
     m_services.log.write(events::attemptFailed,
         { { "request", m_request.attemptId }, { "target", target },
             { "verdict", std::string(base::nameOf(failure.verdict)) }, { "reason", failure.message },
-            { "answer", std::string(answerProgress()) }, { "framing", std::string(answerFraming()) },
-            { "retry", retry ? "yes" : "no" }, { "age_ms", std::to_string(elapsed().count() / 1000) } });
+            { "answer", std::string(answerProgress()) }, { "events", std::to_string(answerEvents()) },
+            { "framing", std::string(answerFraming()) }, { "retry", retry ? "yes" : "no" },
+            { "age_ms", std::to_string(elapsed().count() / 1000) } });
     if (isReplaced)
         return takeOverHedge("took_over");
     if (retry)
--- a/src/libs/relay/session/relay_session_send.cpp
+++ b/src/libs/relay/session/relay_session_send.cpp
@@ -128,6 +128,7 @@
     m_answer = answer_state::None;
     m_answerBegun = false;
     m_boundary = {};
+    m_stage = 0;
     ++m_sends;
     ++m_possibleRuns;
     const std::string head = requestHead(target);
--- a/src/libs/relay/targets/target_end_detector.cpp
+++ b/src/libs/relay/targets/target_end_detector.cpp
@@ -1,6 +1,7 @@
 #include "target_end_detector.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -10,6 +11,13 @@
 
 constexpr int maxProbes = 2;
 
+/// Returns the place of \a request among those that were lost with a target, the least for the one whose
+/// answer had begun last: the target may have ended since it began to write it.
+int rankOf(const lost_request& request)
+{
+    return request.answerBegun ? request.events : std::numeric_limits<int>::max();
+}
+
 } // namespace
 
 target_end_detector::target_end_detector(
@@ -53,9 +61,7 @@
         m_ended(record.target, incarnation, { std::move(request) });
         return;
     }
-    const auto position = request.answerBegun
-        ? std::ranges::find_if(record.requests, [](const lost_request& item) { return !item.answerBegun; })
-        : record.requests.end();
+    const auto position = std::ranges::upper_bound(record.requests, rankOf(request), {}, rankOf);
     record.requests.insert(position, std::move(request));
     if (record.requests.size() > m_options.maxRequests)
         record.requests.pop_back();
--- a/src/libs/relay/targets/target_end_detector.h
+++ b/src/libs/relay/targets/target_end_detector.h
@@ -13,11 +13,12 @@
 
 namespace marigold::relay {
 
-/// A request whose connection was lost before one event or the whole body of its answer was received.
+/// A request whose connection was lost before the whole answer was received.
 struct lost_request {
     std::string id; ///< Id of the attempt.
     std::vector<std::string> sharedParts = {}; ///< Scoped names of the shared parts of its prompt, in order.
     bool answerBegun = false; ///< The head of the answer was received.
+    int events = 0; ///< Whole events of the answer that were received.
 };
 
 /// What is known of a target after it has closed a connection.
@@ -41,7 +42,7 @@
         base::duration secondProbeDelay = std::chrono::milliseconds(100);
         /// Time after a loss in which a changed registration confirms the end of the target.
         base::duration memory = std::chrono::seconds(5);
-        /// Requests that are kept for one target; those whose answer had begun come first.
+        /// Requests that are kept for one target; those whose answer had begun last come first.
         std::size_t maxRequests = 4;
     };
 
--- a/tests/libs/relay/admission/part_quarantine_test.cpp
+++ b/tests/libs/relay/admission/part_quarantine_test.cpp
@@ -36,6 +36,14 @@
             .answerBegun = begun });
         clock.advance(std::chrono::seconds(1));
     }
+    void endAfter(const parts& names, int events)
+    {
+        quarantine.targetEnded({ .target = "t" + std::to_string(targets++),
+            .parts = names,
+            .answerBegun = true,
+            .events = events });
+        clock.advance(std::chrono::seconds(1));
+    }
     bool refuses(const parts& names) const { return quarantine.find(names) != nullptr; }
 };
 
@@ -125,6 +133,99 @@
     CHECK(ends == 4);
 }
 
+TEST_CASE(
+    "an end is evidence however far the answer had come, less in the middle and not against sound parts")
+{
+    // Guards against a part that is never blocked since its targets end after their first event (review case
+    // 12), and against blocking what the streams have in common that an end has cut.
+    struct row {
+        std::string name;
+        int events; ///< Of the answers when their targets end.
+        parts answered; ///< Before all ends.
+        int reached; ///< Events of another answer with the part after each end; 0 if there is none.
+        std::optional<int> ends; ///< After which the part is blocked.
+    };
+    const std::vector<row> rows {
+        { "first event", 1, {}, 0, 2 },
+        { "last event of the beginning", 7, {}, 0, 2 },
+        { "middle of the stream", 8, {}, 0, 4 },
+        { "long stream", 5000, {}, 0, 4 },
+        { "first event, answered before", 1, { "x" }, 0, 4 },
+        { "middle of the stream, answered before", 30, { "x" }, 0, std::nullopt },
+        { "first event, another answer comes further", 1, {}, 8, std::nullopt },
+        { "middle of the stream, another answer comes further", 30, {}, 32, std::nullopt },
+        { "middle of the stream, another answer comes less far", 30, {}, 16, 4 },
+    };
+    for (const row& item : rows) {
+        CAPTURE(item.name);
+        fixture f;
+        f.quarantine.answered(item.answered);
+        int ends = 0;
+        for (; ends < 12 && !f.refuses({ "a", "x" }); ++ends) {
+            f.endAfter({ "a" + std::to_string(ends), "x" }, item.events);
+            if (item.reached > 0)
+                f.quarantine.stageReached(parts { "x" }, answerStage(item.reached));
+        }
+        CHECK(f.refuses({ "a", "x" }) == item.ends.has_value());
+        if (item.ends)
+            CHECK(ends == *item.ends);
+    }
+}
+
+TEST_CASE("the answer that began last is kept of all that an end has cut")
+{
+    // Guards against a part that is never found beside the many streams that ran at its targets.
+    fixture f;
+    for (int end = 0; end < 2; ++end) {
+        for (int stream = 0; stream < 20; ++stream)
+            f.quarantine.targetEnded({ .target = "t" + std::to_string(end),
+                .parts = { "s" + std::to_string(stream) + "." + std::to_string(end) },
+                .answerBegun = true,
+                .events = 100 + stream });
+        f.quarantine.targetEnded(
+            { .target = "t" + std::to_string(end), .parts = { "x" }, .answerBegun = true, .events = 1 });
+        f.clock.advance(std::chrono::seconds(1));
+    }
+    CHECK(f.refuses({ "x" }));
+}
+
+TEST_CASE("a block ends when an answer with its part comes further, here or elsewhere")
+{
+    // Guards against a sound part that stays refused while its streams run, and against lifting a block for
+    // an answer that has not come as far.
+    fixture f;
+    f.endAfter({ "x" }, 1);
+    f.endAfter({ "x" }, 1);
+    REQUIRE(f.refuses({ "x" }));
+    f.quarantine.stageReached(parts { "x" }, 1);
+    CHECK_FALSE(f.refuses({ "x" }));
+    REQUIRE(f.sound.size() == 1);
+    CHECK(f.sound[0].stage == 1);
+    fixture other;
+    other.endAfter({ "x" }, 1);
+    other.endAfter({ "x" }, 1);
+    other.quarantine.soundReported({ .part = "x", .refutes = true, .stage = 0 });
+    CHECK(other.refuses({ "x" }));
+    other.quarantine.soundReported(f.sound[0]);
+    CHECK_FALSE(other.refuses({ "x" }));
+    // Of a block that another process tells it is not known how far the answers had come.
+    other.quarantine.blockReported({ .part = "y", .with = { "y" }, .ends = 2, .targets = { "u", "v" } });
+    other.quarantine.stageReached(parts { "y" }, 3);
+    CHECK(other.refuses({ "y" }));
+}
+
+TEST_CASE("while many targets end for other reasons, more ends are required")
+{
+    // Guards against a part of few requests that is at two of many ended targets by chance.
+    fixture f;
+    for (int i = 0; i < 12; ++i)
+        f.end({ "other" + std::to_string(i) });
+    int ends = 0;
+    for (; ends < 10 && !f.refuses({ "x" }); ++ends)
+        f.end({ "x" });
+    CHECK(ends == 3);
+}
+
 TEST_CASE("an end that a blocked part explains is no evidence against others")
 {
     // Guards against blocking the parts of sound requests that ran at the same targets.
--- a/tests/libs/relay/exchange/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/exchange/quarantine_exchange_test.cpp
@@ -205,6 +205,55 @@
     }
 }
 
+TEST_CASE("a part that ends targets after some events is blocked, and sound streams that they cut are not")
+{
+    // Guards against an end that is no evidence since an event was out (review case 12), and against blocking
+    // what streams share that ran in the middle when their targets ended, for whatever reason.
+    struct row {
+        std::string name;
+        scenario faults;
+    };
+    const std::vector<row> rows {
+        { "after the first event", { .crashEvents = 1, .streamEvents = 60 } },
+        { "after some events", { .crashEvents = 7, .streamEvents = 60 } },
+        { "after many events", { .crashEvents = 40, .streamEvents = 60 } },
+        { "after some events, sound before", { .turnsLate = true, .crashEvents = 7, .streamEvents = 60 } },
+        { "lost datagrams and restarts",
+            { .datagramLoss = 0.5, .restarts = true, .crashEvents = 3, .streamEvents = 60 } },
+        { "no such part, long streams", { .hasCrashingPart = false, .streamEvents = 500 } },
+        { "no such part, ends all the time",
+            { .hasCrashingPart = false, .streamEvents = 60, .endsPerSecond = 6 } },
+    };
+    for (const row& item : rows) {
+        CAPTURE(item.name);
+        for (const int relays : { 4, 8, 24 }) {
+            scenario s = item.faults;
+            s.relays = relays;
+            s.seed = 1 + static_cast<std::uint64_t>(relays);
+            checkPromises(s);
+        }
+    }
+}
+
+TEST_CASE(
+    "targets that end by themselves leave each sound part unblocked whose streams they cut in the middle")
+{
+    // Guards against a part that is refused for a moment since its streams were at several ended targets.
+    for (const int relays : { 4, 8, 24 })
+        for (const std::uint64_t seed : { 1, 2, 3 }) {
+            CAPTURE(relays);
+            CAPTURE(seed);
+            fleet all({ .relays = relays,
+                .seed = seed,
+                .hasCrashingPart = false,
+                .streamEvents = 500,
+                .soundPages = 1000 });
+            all.run();
+            CHECK(all.everBlockedSoundParts().empty());
+            CHECK(all.soundShare() == 1);
+        }
+}
+
 TEST_CASE("four hundred processes keep the same bounds")
 {
     // Guards against bounds that hold for each process and not for their sum.
--- a/tests/libs/relay/exchange/quarantine_fleet.h
+++ b/tests/libs/relay/exchange/quarantine_fleet.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -106,6 +107,10 @@
     bool restarts = false;
     bool storeOutage = false; ///< From before the first end, for some seconds.
     bool turnsLate = false; ///< The crashing part is answered for a while before.
+    int crashEvents = 0; ///< Events that a target writes at the most before it ends.
+    int streamEvents = 0; ///< Events of a sound answer; those that are cut are at any of them.
+    double endsPerSecond = 0.8; ///< Of targets that end by themselves.
+    int soundPages = 200; ///< Number of the parts that few sound requests share.
 };
 
 /// Processes that share evidence over a network and a store with faults, in simulated time.
@@ -142,7 +147,7 @@
             if (m_scenario.hasCrashingPart && (m_inTrouble || m_scenario.turnsLate))
                 repeat(crashingPerSecond * seconds, [this] { sendCrashing(); });
             if (m_inTrouble)
-                repeat(0.8 * seconds, [this] { endForNoReason(); });
+                repeat(m_scenario.endsPerSecond * seconds, [this] { endForNoReason(); });
         }
     }
 
@@ -157,6 +162,9 @@
             std::ranges::count_if(m_inTouchSends, [from](base::time_point at) { return at > from; }));
     }
 
+    /// Returns the sound parts that any process has blocked on its own, for however short a time.
+    const std::set<std::string>& everBlockedSoundParts() const { return m_everBlocked; }
+
     double soundShare() const { return m_soundSent == 0 ? 1 : 1.0 * m_soundPlaced / m_soundSent; }
 
     /// Returns the sound parts that any process still blocks on its own.
@@ -203,8 +211,12 @@
         if (!self.store)
             self.store = std::make_unique<store_link>(m_store, m_timers);
         self.quarantine = std::make_unique<part_quarantine>(m_clock,
-            part_quarantine::observer {
-                .blocked = [&self](const blocked_part& block) { self.exchange->partBlocked(block); },
+            part_quarantine::observer { .blocked =
+                                            [this, &self](const blocked_part& block) {
+                                                if (block.part != "x" && block.with == parts { block.part })
+                                                    m_everBlocked.insert(block.part);
+                                                self.exchange->partBlocked(block);
+                                            },
                 .sound = [&self](const sound_part& report) { self.exchange->partSound(report); } },
             part_quarantine::options {});
         self.exchange = std::make_unique<quarantine_exchange>(
@@ -284,7 +296,7 @@
     parts soundParts()
     {
         return { "team" + std::to_string(m_random.below(3)), "book" + std::to_string(m_random.below(20)),
-            "page" + std::to_string(m_random.below(200)) };
+            "page" + std::to_string(m_random.below(static_cast<std::uint64_t>(m_scenario.soundPages))) };
     }
 
     bool isInTouch(const process& self) const
@@ -317,7 +329,9 @@
     void place(process& self, const parts& names)
     {
         m_running.push_back({ .relay = &self, .name = self.name, .names = names });
-        if (m_running.size() > 40) {
+        if (m_scenario.streamEvents > 0)
+            advanceStreams();
+        if (m_running.size() > maxRunning) {
             const running oldest = m_running.front();
             m_running.pop_front();
             if (oldest.relay->name == oldest.name)
@@ -353,7 +367,10 @@
                 m_crashes.push_back(m_clock.now());
                 // A process that has ended in the meantime tells nobody.
                 if (self.name == started)
-                    self.exchange->targetEnded({ .target = target, .parts = names, .answerBegun = true });
+                    self.exchange->targetEnded({ .target = target,
+                        .parts = names,
+                        .answerBegun = true,
+                        .events = anyUpTo(m_scenario.crashEvents) });
             });
     }
 
@@ -362,15 +379,46 @@
     {
         const std::string target = "t" + std::to_string(m_nextTarget++);
         for (int i = 0; i < 3 && !m_running.empty(); ++i) {
-            const running lost = m_running.back();
-            m_running.pop_back();
-            if (lost.relay->name == lost.name && m_random.uniform() < 0.5)
-                lost.relay->exchange->targetEnded(
-                    { .target = target, .parts = lost.names, .answerBegun = m_random.uniform() < 0.2 });
+            // A stream that is cut may have run for long.
+            const std::size_t index
+                = m_scenario.streamEvents > 0 ? m_random.below(m_running.size()) : m_running.size() - 1;
+            const running lost = m_running[index];
+            m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(index));
+            if (lost.relay->name != lost.name)
+                continue;
+            const int events = eventsAt(m_running.size() - index);
+            if (events > 0 || m_random.uniform() < 0.5)
+                lost.relay->exchange->targetEnded({ .target = target,
+                    .parts = lost.names,
+                    .answerBegun = events > 0 || m_random.uniform() < 0.2,
+                    .events = events });
         }
         return target;
     }
 
+    /// Returns the events of the answer to a request after which \a later ones have begun.
+    int eventsAt(std::size_t later) const
+    {
+        return m_scenario.streamEvents * static_cast<int>(later) / static_cast<int>(maxRunning);
+    }
+
+    int anyUpTo(int events)
+    {
+        return static_cast<int>(m_random.below(static_cast<std::uint64_t>(events) + 1));
+    }
+
+    /// Tells the processes which of their answers have come further.
+    void advanceStreams()
+    {
+        for (std::size_t i = 0; i < m_running.size(); ++i) {
+            running& item = m_running[i];
+            const int stage = answerStage(eventsAt(m_running.size() - 1 - i));
+            if (stage > std::exchange(item.stage, std::max(item.stage, stage))
+                && item.relay->name == item.name)
+                item.relay->quarantine->stageReached(item.names, stage);
+        }
+    }
+
     void endForNoReason()
     {
         const int count = m_random.uniform() < 0.2 ? 8 : 1;
@@ -382,7 +430,9 @@
         process* relay;
         std::string name; ///< Of the process when it sent the request.
         parts names;
+        int stage = 0; ///< That the answer has reached.
     };
+    static constexpr std::size_t maxRunning = 40;
 
     scenario m_scenario;
     base::random_source m_random;
@@ -398,6 +448,7 @@
     int m_nextTarget = 0;
     std::vector<base::time_point> m_crashes;
     std::vector<base::time_point> m_inTouchSends;
+    std::set<std::string> m_everBlocked;
     int m_soundSent = 0;
     int m_soundPlaced = 0;
 };
--- a/tests/libs/relay/exchange/quarantine_record_test.cpp
+++ b/tests/libs/relay/exchange/quarantine_record_test.cpp
@@ -19,10 +19,11 @@
                          .record = target_end { .target = "t",
                              .parts = { "a", "b" },
                              .soundParts = { "a" },
-                             .answerBegun = true } },
+                             .answerBegun = true,
+                             .events = 7 } },
             { .sequence = 2,
                 .record = blocked_part { .part = "b", .with = { "a", "b" }, .ends = 3, .targets = { "t" } } },
-            { .sequence = 3, .record = sound_part { .part = "a", .refutes = true } },
+            { .sequence = 3, .record = sound_part { .part = "a", .refutes = true, .stage = 2 } },
             { .sequence = 4, .record = trial_start { .part = "b", .number = 2 } } } };
     for (const auto& decoded :
         { decodeQuarantineText(encodeText(batch)), decodeQuarantineDatagram(encodeDatagram(batch)) }) {
@@ -31,6 +32,8 @@
         REQUIRE(decoded->records.size() == 4);
         CHECK(decoded->records[2].sequence == 3);
         CHECK(std::get<target_end>(decoded->records[0].record).soundParts == parts { "a" });
+        CHECK(std::get<target_end>(decoded->records[0].record).events == 7);
+        CHECK(std::get<sound_part>(decoded->records[2].record).stage == 2);
         CHECK(std::get<blocked_part>(decoded->records[1].record).with == parts { "a", "b" });
         CHECK(std::get<blocked_part>(decoded->records[1].record).targets == parts { "t" });
         CHECK(std::get<sound_part>(decoded->records[2].record).refutes);
