Send a trial with a blocked part only once

What callers saw: nothing of their own; each trial of a part whose requests may be repeated ended two targets instead of one.

Cause: refuseBlocked lets a trial pass, also for the repeat after its target had ended.

Change: after an attempt that may have run, the request is no trial any more, so that its repeat is refused as blocked.

--- a/src/libs/relay/session/relay_session_answer.cpp
+++ b/src/libs/relay/session/relay_session_answer.cpp
@@ -384,6 +384,8 @@
             { "age_ms", std::to_string(elapsed().count() / 1000) } });
     if (isReplaced)
         return takeOverHedge("took_over");
+    // A trial is one send: its part is blocked for a repeat, or this would end another target.
+    m_isTrial = m_isTrial && failure.verdict == base::verdict::NotRun;
     if (retry)
         return dispatch();
     cancelHedge();
