Let the server of a test end its connection once the client has written what the row says

Cause: a fault of the test. These rows are about an upload that is in the buffer of the socket when the server ends the connection; the test took 1 ms for that. Beside load the client is still writing then, and a lost connection is the right outcome.

Change: in rows whose upload fits, the server ends the connection after the delay as before, and not before the client's socket has all bytes of the upload (TCP_INFO and SIOCOUTQ of the client's end). All rows, delays and checks are as they were.

--- a/tests/libs/net/http_test.cpp
+++ b/tests/libs/net/http_test.cpp
@@ -1,6 +1,7 @@
 #include "support/raw_server.h"
 
 #include <net/net.h>
+#include <net/socket_state.h>
 
 #include <doctest/doctest.h>
 
@@ -9,6 +10,10 @@
 #include <string>
 #include <vector>
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 using namespace marigold;
 using namespace marigold::net;
 
@@ -40,6 +45,24 @@
     }
 };
 
+/// Returns how many bytes this process has written to its socket that is connected to \a port.
+std::size_t bytesWrittenTo(std::uint16_t port)
+{
+    constexpr int maxSocket = 1024;
+    for (int socket = 0; socket < maxSocket; ++socket) {
+        sockaddr_in peer {};
+        socklen_t length = sizeof(peer);
+        if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &length) != 0
+            || peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+            continue;
+        tcp_info info {};
+        socklen_t size = sizeof(info);
+        if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+            return info.tcpi_bytes_acked + unacknowledgedBytes(socket);
+    }
+    return 0;
+}
+
 /// Returns the outcome of \a call to a server that answers as \a server says.
 base::result<http_response> outcomeOf(testing::raw_server::options server, http_call call)
 {
@@ -139,9 +162,15 @@
             CAPTURE(item.upload);
             CAPTURE(item.endsInOrder);
             CAPTURE(delay);
+            // Beside load, the client may still be writing when the delay is over.
+            const auto isWritten = [&](std::uint16_t port) { return bytesWrittenTo(port) >= item.upload; };
+            std::function<bool(std::uint16_t)> mayEnd;
+            if (item.upload <= some && item.endsInOrder)
+                mayEnd = isWritten;
             const auto outcome = outcomeOf({ .start = item.head + "\r\nhalf",
                                                .endAfter = std::chrono::milliseconds(delay),
-                                               .endsInOrder = item.endsInOrder },
+                                               .endsInOrder = item.endsInOrder,
+                                               .mayEnd = mayEnd },
                 { .method = "POST",
                     .body = std::string(item.upload, 'u'),
                     .timeout = std::chrono::seconds(2) });
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -2,6 +2,7 @@
 
 #include <net/event_loop.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -26,6 +27,8 @@
         /// Ends the connection this long after `start`, and reads nothing beyond the request head.
         std::optional<base::duration> endAfter = {};
         bool endsInOrder = false; ///< The end is a FIN instead of a reset.
+        /// If set, the end waits until it returns true.
+        std::function<bool(std::uint16_t port)> mayEnd = {};
     };
 
     raw_server(net::event_loop& loop, options opts)
@@ -119,6 +122,13 @@
     {
         if (!m_events)
             return;
+        if (m_options.mayEnd && !m_options.mayEnd(port)) {
+            m_timer = m_loop.runAfter(std::chrono::milliseconds(1), [this] {
+                m_timer = 0;
+                endConnection();
+            });
+            return;
+        }
         const int socket = bufferevent_getfd(m_events);
         if (m_options.endsInOrder) {
             shutdown(socket, SHUT_WR);
