--- a/src/libs/relay/admission/part_quarantine.cpp
+++ b/src/libs/relay/admission/part_quarantine.cpp
@@ -61,9 +61,23 @@
         item.sound = item.sound || reportedSound || wasAnswered(part);
         ++item.mentions;
     }
+    limitNames();
     recompute();
 }
 
+void part_quarantine::limitNames()
+{
+    std::size_t names = 0;
+    for (const end_record& end : m_ends)
+        for (const target_end& request : end.requests)
+            names += request.parts.size();
+    while (names > m_options.maxNames && m_ends.size() > 1) {
+        for (const target_end& request : m_ends.front().requests)
+            names -= request.parts.size();
+        m_ends.erase(m_ends.begin());
+    }
+}
+
 int part_quarantine::rankOf(const target_end& request)
 {
     return request.answerBegun ? answerStage(request.events) : wholeAnswerStage;
--- a/src/libs/relay/admission/part_quarantine.h
+++ b/src/libs/relay/admission/part_quarantine.h
@@ -102,6 +102,8 @@
         base::duration trialInterval = std::chrono::seconds(20);
         int trialGrowth = 3;
         std::size_t maxEnds = 128;
+        /// Names of parts in all evidence; the oldest of it goes first.
+        std::size_t maxNames = 16'384;
         std::size_t maxBlocks = 1024;
         std::size_t maxAnswered = 4096;
     };
@@ -224,6 +226,7 @@
     static bool contains(std::span<const std::string> parts, std::string_view part);
     static int rankOf(const target_end& request);
     void addRequest(end_record& end, const target_end& request);
+    void limitNames();
     /// Returns the weight of \a item against a part; 0 if it is no evidence, or refuted.
     double weightOf(const mention& item, const suspect& against) const;
     static bool isRefuted(const mention& item, const suspect& against);
--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -1,6 +1,7 @@
 #include "quarantine_exchange.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <memory>
 
@@ -8,6 +9,28 @@
 
 namespace marigold::relay {
 
+namespace {
+
+/// Larger records reach the others by the store alone.
+constexpr std::size_t maxDatagramBytes = 60'000;
+
+/// Returns \a end with no more parts than a record may have; those that were answered lately go first.
+target_end withinLimit(target_end end)
+{
+    if (end.parts.size() <= maxRecordParts)
+        return end;
+    const auto isSound = [&](const std::string& part) {
+        return std::ranges::find(end.soundParts, part) != end.soundParts.end();
+    };
+    std::ranges::stable_partition(end.parts, std::not_fn(isSound));
+    end.parts.resize(maxRecordParts);
+    std::erase_if(end.soundParts,
+        [&](const std::string& part) { return std::ranges::find(end.parts, part) == end.parts.end(); });
+    return end;
+}
+
+} // namespace
+
 quarantine_exchange::quarantine_exchange(part_quarantine& parts, platform::kv_store& store,
     const state_decoder& decoder, base::scheduler& timers, const base::clock& time,
     base::random_source& random, sender send, options opts)
@@ -56,6 +79,7 @@
     // No evidence against any of its parts; a target that ends cuts many such streams.
     if (answerStage(end.events) > 0 && reported.soundParts.size() == end.parts.size())
         return;
+    reported = withinLimit(std::move(reported));
     publish(reported);
     m_isOwnEvidence = true;
     m_parts.targetEnded(reported);
@@ -119,9 +143,13 @@
     if (m_unwritten.size() >= m_options.maxPending)
         m_unwritten.erase(m_unwritten.begin());
     m_unwritten.push_back({ .sequence = ++m_sequence, .record = std::move(record) });
+    while (m_unwritten.size() > 1 && pendingParts() > m_options.maxPendingParts)
+        m_unwritten.erase(m_unwritten.begin());
     scheduleWrite(base::duration::zero());
     const std::string datagram
         = encodeDatagram({ .process = m_options.process, .records = { m_unwritten.back() } });
+    if (datagram.size() > maxDatagramBytes)
+        return;
     sendToAll(datagram);
     for (const base::duration delay : m_options.repeats)
         m_timers.runAfter(delay, [this, datagram] { sendToAll(datagram); });
@@ -133,6 +161,27 @@
         m_send(address, datagram);
 }
 
+std::size_t quarantine_exchange::pendingParts() const
+{
+    std::size_t parts = 0;
+    for (const numbered_record& item : m_unwritten)
+        parts += partsIn(item.record);
+    return parts;
+}
+
+std::size_t quarantine_exchange::nextEntrySize() const
+{
+    std::size_t count = 0;
+    std::size_t parts = 0;
+    for (const numbered_record& item : m_unwritten) {
+        parts += partsIn(item.record);
+        if (count > 0 && parts > m_options.maxEntryParts)
+            break;
+        ++count;
+    }
+    return count;
+}
+
 void quarantine_exchange::scheduleWrite(base::duration delay)
 {
     if (m_unwritten.empty() || std::exchange(m_writeScheduled, true))
@@ -165,9 +214,15 @@
 
 void quarantine_exchange::writeRecords()
 {
-    const std::uint64_t last = m_unwritten.back().sequence;
+    if (m_unwritten.empty()) {
+        m_writeScheduled = false;
+        return;
+    }
+    const std::vector<numbered_record> records(
+        m_unwritten.begin(), m_unwritten.begin() + static_cast<std::ptrdiff_t>(nextEntrySize()));
+    const std::uint64_t last = records.back().sequence;
     m_store.put({ .key = m_decoder.quarantineKey(fmt::format("{}/{}", m_options.process, last)),
-                    .value = encodeText({ .process = m_options.process, .records = m_unwritten }),
+                    .value = encodeText({ .process = m_options.process, .records = records }),
                     .lease = m_lease.id() },
         [this, last](base::result<std::uint64_t> revision) {
             if (!revision)
@@ -191,8 +246,15 @@
 {
     const std::vector<blocked_part> blocks = m_parts.ownBlocks();
     quarantine_batch batch { .process = m_options.process };
-    for (std::size_t i = 0; i < std::min(blocks.size(), m_options.maxGossipBlocks); ++i)
-        batch.records.push_back({ .record = blocks[m_nextGossip++ % blocks.size()] });
+    std::size_t parts = 0;
+    for (std::size_t i = 0; i < std::min(blocks.size(), m_options.maxGossipBlocks); ++i) {
+        const blocked_part& block = blocks[m_nextGossip % blocks.size()];
+        parts += partsIn(block);
+        if (i > 0 && parts > maxRecordParts)
+            break;
+        ++m_nextGossip;
+        batch.records.push_back({ .record = block });
+    }
     if (!batch.records.empty() && !m_peers.empty()) {
         const std::string datagram = encodeDatagram(batch);
         for (int i = 0; i < m_options.gossipFanout; ++i)
--- a/src/libs/relay/exchange/quarantine_exchange.h
+++ b/src/libs/relay/exchange/quarantine_exchange.h
@@ -52,6 +52,9 @@
         /// Time in which an operator writes again what the store has lost.
         base::duration operatorTime = std::chrono::seconds(5);
         std::size_t maxPending = 256;
+        /// Names of parts in all records that wait for the store, and in one entry of it.
+        std::size_t maxPendingParts = 16'384;
+        std::size_t maxEntryParts = 4096;
         std::size_t maxKnownRecords = 1024;
     };
 
@@ -107,6 +110,9 @@
     /// Writes \a block to the store after a random time, unless another process has.
     void publishLater(const blocked_part& block);
     void sendToAll(const std::string& datagram);
+    std::size_t pendingParts() const;
+    /// Returns how many of the records that wait go into the next entry of the store, one at the least.
+    std::size_t nextEntrySize() const;
     void apply(const quarantine_batch& batch);
     void apply(const quarantine_record& record);
     bool isNew(std::string_view process, std::uint64_t sequence);
--- a/src/libs/relay/exchange/quarantine_record.cpp
+++ b/src/libs/relay/exchange/quarantine_record.cpp
@@ -11,7 +11,6 @@
 using nlohmann::json;
 
 /// Limits of what is accepted from others, far above what a process sends.
-constexpr std::size_t maxParts = 64;
 constexpr std::size_t maxRecords = 256;
 constexpr std::size_t maxNameBytes = 512;
 constexpr int maxCount = 1'000'000;
@@ -57,7 +56,7 @@
 
 std::vector<std::string> namesOf(const json& value)
 {
-    if (value.size() > maxParts)
+    if (value.size() > maxRecordParts)
         throw std::length_error("too many parts");
     std::vector<std::string> names;
     for (const json& item : arrayOf(value))
@@ -117,6 +116,14 @@
 
 } // namespace
 
+std::size_t partsIn(const quarantine_record& record)
+{
+    if (const auto* end = std::get_if<target_end>(&record))
+        return end->parts.size() + end->soundParts.size();
+    const auto* block = std::get_if<blocked_part>(&record);
+    return block ? 1 + block->with.size() : 1;
+}
+
 std::string encodeText(const quarantine_batch& batch)
 {
     return valueOf(batch).dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/libs/relay/exchange/quarantine_record.h
+++ b/src/libs/relay/exchange/quarantine_record.h
@@ -14,6 +14,9 @@
 /// First byte of each datagram with quarantine records; distinguishes it from other datagrams of the relays.
 inline constexpr char quarantineDigestKind = 'Q';
 
+/// Parts that a record names at the most; one with more is refused by the other processes.
+inline constexpr std::size_t maxRecordParts = 1024;
+
 /// What one process tells the others about parts that end targets.
 using quarantine_record = std::variant<target_end, blocked_part, sound_part, trial_start>;
 
@@ -29,6 +32,9 @@
     std::vector<numbered_record> records = {};
 };
 
+/// Returns how many names of parts \a record has.
+std::size_t partsIn(const quarantine_record& record);
+
 /// Encodes \a batch as text for the platform's store.
 std::string encodeText(const quarantine_batch& batch);
 
--- a/tests/libs/relay/exchange/quarantine_exchange_test.cpp
+++ b/tests/libs/relay/exchange/quarantine_exchange_test.cpp
@@ -235,6 +235,24 @@
     }
 }
 
+TEST_CASE("ends under prompts of many parts reach the other processes")
+{
+    // Guards against records that the receivers refuse for their length, so that each process has to see the
+    // ends itself (review case 14).
+    for (const double datagramLoss : { 0.1, 1.0 }) {
+        CAPTURE(datagramLoss);
+        scenario s { .seed = 3, .datagramLoss = datagramLoss, .crashEvents = 1 };
+        for (const int relays : { 4, 8, 24 }) {
+            s.relays = relays;
+            s.sessionParts = 70;
+            checkPromises(s);
+        }
+        s.relays = 4;
+        s.sessionParts = 1500; // More than a record may have.
+        checkPromises(s);
+    }
+}
+
 TEST_CASE(
     "targets that end by themselves leave each sound part unblocked whose streams they cut in the middle")
 {
--- a/tests/libs/relay/exchange/quarantine_fleet.h
+++ b/tests/libs/relay/exchange/quarantine_fleet.h
@@ -110,6 +110,7 @@
     int crashEvents = 0; ///< Events that a target writes at the most before it ends.
     int streamEvents = 0; ///< Events of a sound answer; those that are cut are at any of them.
     double endsPerSecond = 0.8; ///< Of targets that end by themselves.
+    int sessionParts = 0; ///< Further parts of each crashing prompt, of its own session.
     int soundPages = 200; ///< Number of the parts that few sound requests share.
 };
 
@@ -343,6 +344,8 @@
     {
         process& self = anyProcess();
         parts names = soundParts();
+        for (int i = 0; i < m_scenario.sessionParts; ++i)
+            names.push_back("session" + std::to_string(++m_nextSessionPart));
         names.insert(names.begin() + static_cast<std::ptrdiff_t>(m_random.below(names.size() + 1)), "x");
         if (!m_inTrouble)
             return self.quarantine->answered(names);
@@ -446,6 +449,7 @@
     std::deque<running> m_running;
     bool m_inTrouble = false;
     int m_nextTarget = 0;
+    int m_nextSessionPart = 0;
     std::vector<base::time_point> m_crashes;
     std::vector<base::time_point> m_inTouchSends;
     std::set<std::string> m_everBlocked;
--- a/tests/libs/relay/exchange/quarantine_record_test.cpp
+++ b/tests/libs/relay/exchange/quarantine_record_test.cpp
@@ -39,6 +39,13 @@
         CHECK(std::get<sound_part>(decoded->records[2].record).refutes);
         CHECK(std::get<trial_start>(decoded->records[3].record).number == 2);
     }
+    for (const std::size_t count : { maxRecordParts, maxRecordParts + 1 }) {
+        const quarantine_batch many { .process = "p",
+            .records = { { .sequence = 1,
+                .record = target_end { .target = "t", .parts = parts(count, "m//5c1e07a2") } } } };
+        CHECK(decodeQuarantineText(encodeText(many)).has_value() == (count == maxRecordParts));
+        CHECK(decodeQuarantineDatagram(encodeDatagram(many)).has_value() == (count == maxRecordParts));
+    }
     CHECK(rc::check("random bytes", [] {
         const auto bytes = *rc::gen::arbitrary<std::string>();
         RC_ASSERT(!decodeQuarantineText(bytes));
