--- a/src/libs/relay/admission/part_quarantine.h
+++ b/src/libs/relay/admission/part_quarantine.h
@@ -244,7 +244,7 @@
     bool isRefuted(const blocked_part& block) const;
     void addEvidence(const blocked_part& block);
     void clear(std::string_view part, std::string_view reason);
-    /// Refutes the evidence of stages below \a stage. Returns true if there was any, or a block.
+    /// Refutes the evidence of stages below \a stage. Returns true if there was any.
     bool refute(std::string_view part, int stage);
     void recompute();
     blocked_part blockFor(std::string_view part, const evidence_list& evidence) const;
--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -14,7 +14,8 @@
 /// Larger records reach the others by the store alone.
 constexpr std::size_t maxDatagramBytes = 60'000;
 
-/// Returns \a end with no more parts than a record may have; those that were answered lately go first.
+/// Returns \a end with no more parts than a record may have; those that were answered lately are left out
+/// first.
 target_end withinLimit(target_end end)
 {
     if (end.parts.size() <= maxRecordParts)
