--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -23,7 +23,7 @@
     const auto isSound = [&](const std::string& part) {
         return std::ranges::find(end.soundParts, part) != end.soundParts.end();
     };
-    std::ranges::stable_partition(end.parts, std::not_fn(isSound));
+    std::stable_partition(end.parts.begin(), end.parts.end(), std::not_fn(isSound));
     end.parts.resize(maxRecordParts);
     std::erase_if(end.soundParts,
         [&](const std::string& part) { return std::ranges::find(end.parts, part) == end.parts.end(); });
