Tell ends in the middle of a stream once, without parts that were answered, and skip decisions that can't block

Cause, as far as read (not profiled): since ends in the middle of streams count, each end of a target makes records at nearly all relays. Each was sent three times to each of them and written to the store, which all read again; and each record made every relay weigh all evidence anew, on machines with 0.06 cores.

Change: such an end is told by one datagram, without the parts that were answered here, and not written. Reports that a part is sound answer it from the second such end on. A record decides nothing unless one of its parts has two ends, or a block before.

--- a/src/libs/relay/admission/part_quarantine.cpp
+++ b/src/libs/relay/admission/part_quarantine.cpp
@@ -53,16 +53,23 @@
     if (std::ranges::any_of(record->requests, isSame))
         return;
     addRequest(*record, end);
+    const bool isRunning = answerStage(end.events) > 0;
+    bool mayBlock = false;
     for (const std::string& part : end.parts) {
         suspect& item = m_suspects[part];
+        ++item.mentions;
         const bool reportedSound = contains(end.soundParts, part);
-        if (!reportedSound && !item.sound && wasAnswered(part) && m_calls.sound)
+        const bool isAnswered = wasAnswered(part);
+        // Weak evidence is worth a report only once there is more of it.
+        const bool isReported = isRunning ? item.mentions >= m_options.blockWeight : true;
+        if (isReported && !reportedSound && !item.sound && isAnswered && m_calls.sound)
             m_calls.sound({ .part = part });
-        item.sound = item.sound || reportedSound || wasAnswered(part);
-        ++item.mentions;
+        item.sound = item.sound || reportedSound || isAnswered;
+        mayBlock = mayBlock || item.mentions >= m_options.blockWeight || m_convictions.contains(part);
     }
     limitNames();
-    recompute();
+    if (mayBlock)
+        recompute();
 }
 
 void part_quarantine::limitNames()
--- a/src/libs/relay/exchange/quarantine_exchange.cpp
+++ b/src/libs/relay/exchange/quarantine_exchange.cpp
@@ -77,11 +77,22 @@
 {
     target_end reported = end;
     reported.soundParts = m_parts.answeredHere(end.parts);
-    // No evidence against any of its parts; a target that ends cuts many such streams.
-    if (answerStage(end.events) > 0 && reported.soundParts.size() == end.parts.size())
+    // A target that ends cuts many streams: these are no evidence against parts that were answered lately,
+    // and are told once.
+    const bool isRunning = answerStage(end.events) > 0;
+    if (isRunning)
+        std::erase_if(reported.parts, [&](const std::string& part) {
+            return std::ranges::find(reported.soundParts, part) != reported.soundParts.end();
+        });
+    if (isRunning && reported.parts.empty())
         return;
     reported = withinLimit(std::move(reported));
-    publish(reported);
+    if (isRunning) {
+        reported.soundParts.clear();
+        sendToAll(encodeDatagram({ .process = m_options.process,
+            .records = { { .sequence = ++m_sequence, .record = reported } } }));
+    } else
+        publish(reported);
     m_isOwnEvidence = true;
     m_parts.targetEnded(reported);
     m_isOwnEvidence = false;
